Thin whole path: entry, agent, log and endpoint stand-ins, command line

Cause: nothing existed. Ruled out: a store of our own and claims through the log on the path of each job (several ms a job, refused during outages); a directory of jobs told to a home entry for each job (one message a job), replaced by asking all entries on a resubmission only. Before: no program.

--- /dev/null
+++ b/bench/src/main/java/org/baobabspar/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Load driver and measurements.
+ */
+package org.baobabspar.bench;
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/agent/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decisions of an agent: the start gate, the start ledger, allotments of slots.
+ */
+package org.baobabspar.agent;
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/entry/EntrySettings.java
@@ -0,0 +1,51 @@
+package org.baobabspar.entry;
+
+/**
+ * Bounds that an entry keeps. Immutable.
+ *
+ * @param windowMillis how long jobs and fences are remembered
+ * @param leaseMillis how old the stamp in a dispatch may be at its agent
+ * @param heartbeatMillis longest silence towards agents and peers
+ * @param suspectMillis silence of an agent after which it gets no new work
+ * @param lostMillis silence of an agent after which its tasks are given up as unknown
+ * @param askMillis how long peers may take to answer about a job
+ * @param fenceMillis how long agents may take to answer a fence
+ * @param pauseMillis gap between ticks that counts as a pause of this process
+ * @param quarantineMillis how long after a start or a pause every submission is treated
+ * as a resubmission
+ * @param ageMarginMillis added to the declared age of a resubmission
+ * @param maxJobs most jobs held, ended ones included
+ * @param maxAsksPerSecond most resubmissions looked into in a second
+ * @param policy how agents are chosen
+ */
+public record EntrySettings(long windowMillis, long leaseMillis, long heartbeatMillis, long suspectMillis,
+		long lostMillis, long askMillis, long fenceMillis, long pauseMillis, long quarantineMillis,
+		long ageMarginMillis, int maxJobs, int maxAsksPerSecond, PlacingPolicy policy) {
+
+	public EntrySettings {
+		if (suspectMillis > leaseMillis || lostMillis < leaseMillis || windowMillis < lostMillis) {
+			throw new IllegalArgumentException("suspect <= lease <= lost <= window");
+		}
+	}
+
+	/**
+	 * Return the settings used unless an operator says otherwise.
+	 * @return the settings
+	 */
+	public static EntrySettings defaults() {
+		return new EntrySettings(300_000, 3_000, 500, 1_500, 5_000, 300, 1_000, 1_000, 3_000, 1_000, 200_000, 2_000,
+				PlacingPolicy.EXPECTED_FINISH);
+	}
+
+	/**
+	 * Return the same settings with another policy.
+	 * @param p how agents are chosen
+	 * @return the settings
+	 */
+	public EntrySettings with(PlacingPolicy p) {
+		return new EntrySettings(this.windowMillis, this.leaseMillis, this.heartbeatMillis, this.suspectMillis,
+				this.lostMillis, this.askMillis, this.fenceMillis, this.pauseMillis, this.quarantineMillis,
+				this.ageMarginMillis, this.maxJobs, this.maxAsksPerSecond, p);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/entry/JobRecord.java
@@ -0,0 +1,342 @@
+package org.baobabspar.entry;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.baobabspar.document.TaskClass;
+import org.baobabspar.model.Claim;
+import org.baobabspar.model.JobAnswer;
+import org.baobabspar.model.JobSpec;
+import org.baobabspar.model.ResultCode;
+import org.baobabspar.model.TaskOutcome;
+
+/**
+ * One job at an entry.
+ * <p>
+ * Invariant: each task is in exactly one of three places: waiting, placed, or ended with
+ * a result; a task comes back from placed to waiting only when it is proved that it was
+ * not started. Used on the control thread only.
+ */
+final class JobRecord {
+
+	private final JobSpec spec;
+
+	private final String id;
+
+	private final long bodyHash;
+
+	private final long arrivedMillis;
+
+	private final long deadlineMillis;
+
+	private final List<Long> waiters = new ArrayList<>(1);
+
+	private final Set<String> remoteWaiters = new LinkedHashSet<>(0);
+
+	private final Set<String> pendingReplies = new HashSet<>(0);
+
+	private final Deque<Integer> waiting = new ArrayDeque<>();
+
+	private final Map<Integer, Placement> placements = new HashMap<>();
+
+	private final byte[][] results;
+
+	private TaskClass taskClass;
+
+	private long documentVersion;
+
+	private Claim claim;
+
+	private JobState state = JobState.ASKING;
+
+	private long firstAttemptMillis;
+
+	private boolean trusted;
+
+	private boolean fenceNeeded;
+
+	private boolean asked;
+
+	private long phaseMillis;
+
+	private String holder = "";
+
+	private int endedTasks;
+
+	private boolean started;
+
+	private long firstStartMillis = -1;
+
+	private ResultCode recallNotRun;
+
+	private ResultCode recallStarted;
+
+	private JobAnswer answer;
+
+	private long endedMillis;
+
+	JobRecord(JobSpec spec, Claim claim, long now) {
+		this.spec = spec;
+		this.id = spec.id();
+		this.bodyHash = spec.bodyHash();
+		this.claim = claim;
+		this.arrivedMillis = now;
+		this.deadlineMillis = now + spec.deadlineMillis();
+		this.results = new byte[spec.tasks().size()][];
+	}
+
+	JobSpec spec() {
+		return this.spec;
+	}
+
+	String id() {
+		return this.id;
+	}
+
+	long bodyHash() {
+		return this.bodyHash;
+	}
+
+	String party() {
+		return this.spec.party();
+	}
+
+	TaskClass taskClass() {
+		return this.taskClass;
+	}
+
+	long documentVersion() {
+		return this.documentVersion;
+	}
+
+	void judgedBy(TaskClass c, long version) {
+		this.taskClass = c;
+		this.documentVersion = version;
+	}
+
+	long arrivedMillis() {
+		return this.arrivedMillis;
+	}
+
+	long deadlineMillis() {
+		return this.deadlineMillis;
+	}
+
+	Claim claim() {
+		return this.claim;
+	}
+
+	Claim raiseClaim() {
+		this.claim = this.claim.next();
+		return this.claim;
+	}
+
+	JobState state() {
+		return this.state;
+	}
+
+	void enter(JobState s, long now) {
+		this.state = s;
+		this.phaseMillis = now;
+	}
+
+	long phaseMillis() {
+		return this.phaseMillis;
+	}
+
+	long firstAttemptMillis() {
+		return this.firstAttemptMillis;
+	}
+
+	/**
+	 * Tell whether the caller declared a first attempt and nothing speaks against it.
+	 * @return {@code true} if no earlier attempt has to be looked for in doubt
+	 */
+	boolean trusted() {
+		return this.trusted;
+	}
+
+	void origin(long firstMillis, boolean trust) {
+		this.firstAttemptMillis = firstMillis;
+		this.trusted = trust;
+	}
+
+	boolean fenceNeeded() {
+		return this.fenceNeeded;
+	}
+
+	void needFence() {
+		this.fenceNeeded = true;
+	}
+
+	/**
+	 * Tell whether other entries were asked under the present claim.
+	 * @return {@code true} once they were
+	 */
+	boolean asked() {
+		return this.asked;
+	}
+
+	void asked(boolean value) {
+		this.asked = value;
+	}
+
+	Set<String> pendingReplies() {
+		return this.pendingReplies;
+	}
+
+	String holder() {
+		return this.holder;
+	}
+
+	void holder(String address) {
+		this.holder = address;
+	}
+
+	List<Long> waiters() {
+		return this.waiters;
+	}
+
+	Set<String> remoteWaiters() {
+		return this.remoteWaiters;
+	}
+
+	Map<Integer, Placement> placements() {
+		return this.placements;
+	}
+
+	int waitingTasks() {
+		return this.waiting.size();
+	}
+
+	/**
+	 * Put every task that is neither placed nor ended in line, the longest declared
+	 * first.
+	 */
+	void fillQueue() {
+		this.waiting.clear();
+		IntStream.range(0, this.results.length)
+			.filter((i) -> this.results[i] == null && !this.placements.containsKey(i))
+			.boxed()
+			.sorted(Comparator.comparingLong((i) -> -this.spec.tasks().get(i).declaredMillis()))
+			.forEach(this.waiting::add);
+	}
+
+	void clearQueue() {
+		this.waiting.clear();
+	}
+
+	int nextTask() {
+		return this.waiting.peek();
+	}
+
+	int pollTask() {
+		return this.waiting.poll();
+	}
+
+	void place(Placement p) {
+		this.placements.put(p.index(), p);
+		if (this.firstStartMillis < 0) {
+			this.firstStartMillis = p.placedMillis();
+		}
+		this.started |= p.adopted();
+	}
+
+	/**
+	 * Take back a task that was proved not to be started.
+	 * @param p its placement
+	 */
+	void withdraw(Placement p) {
+		this.placements.remove(p.index());
+		if (this.state == JobState.RUNNING) {
+			this.waiting.addFirst(p.index());
+		}
+	}
+
+	/**
+	 * Record the end of a task.
+	 * @param o its outcome
+	 * @return {@code true} if it was not recorded before
+	 */
+	boolean record(TaskOutcome o) {
+		this.started = true;
+		this.placements.remove(o.index());
+		if (this.results[o.index()] != null) {
+			return false;
+		}
+		this.waiting.remove(o.index());
+		this.results[o.index()] = o.result();
+		this.endedTasks++;
+		return true;
+	}
+
+	void noteStarted() {
+		this.started = true;
+	}
+
+	boolean started() {
+		return this.started;
+	}
+
+	/**
+	 * Tell whether the job's own class bound on waiting still applies.
+	 * @return {@code true} if no task was ever placed or adopted
+	 */
+	boolean untouched() {
+		return this.firstStartMillis < 0 && !this.started;
+	}
+
+	boolean wholeResult() {
+		return this.endedTasks == this.results.length;
+	}
+
+	boolean accountedFor() {
+		return this.endedTasks + this.placements.size() == this.results.length;
+	}
+
+	List<byte[]> results() {
+		return List.of(this.results);
+	}
+
+	void recall(ResultCode notRun, ResultCode startedCode) {
+		this.recallNotRun = notRun;
+		this.recallStarted = startedCode;
+	}
+
+	ResultCode recallCode() {
+		return this.started ? this.recallStarted : this.recallNotRun;
+	}
+
+	void end(JobAnswer a, long now) {
+		this.answer = a;
+		this.endedMillis = now;
+		this.state = JobState.ENDED;
+		this.waiting.clear();
+		this.pendingReplies.clear();
+		this.placements.clear();
+	}
+
+	JobAnswer answer() {
+		return this.answer;
+	}
+
+	long endedMillis() {
+		return this.endedMillis;
+	}
+
+	JobEnd summary(long now) {
+		long first = (this.firstStartMillis >= 0) ? this.firstStartMillis : now;
+		return new JobEnd(this.id, party(), this.spec.taskClass(), this.results.length, this.answer.resultCode(),
+				now - this.arrivedMillis, first - this.arrivedMillis);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decisions of an entry: admission, queues, placing, fencing, membership.
+ */
+package org.baobabspar.entry;
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/message/MessageType.java
@@ -0,0 +1,137 @@
+package org.baobabspar.message;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Number of each message on the wire. Invariant: a number never changes its meaning and
+ * is never used again. Immutable and safe for any thread.
+ */
+public enum MessageType {
+
+	/** See {@link AgentHello}. */
+	AGENT_HELLO(1, AgentHello.class),
+
+	/** See {@link AgentHeartbeat}. */
+	AGENT_HEARTBEAT(2, AgentHeartbeat.class),
+
+	/** See {@link TaskEnded}. */
+	TASK_ENDED(3, TaskEnded.class),
+
+	/** See {@link TaskRefused}. */
+	TASK_REFUSED(4, TaskRefused.class),
+
+	/** See {@link FenceReply}. */
+	FENCE_REPLY(5, FenceReply.class),
+
+	/** See {@link JobSuperseded}. */
+	JOB_SUPERSEDED(6, JobSuperseded.class),
+
+	/** See {@link AgentGoodbye}. */
+	AGENT_GOODBYE(7, AgentGoodbye.class),
+
+	/** See {@link EntryNotice}. */
+	ENTRY_NOTICE(8, EntryNotice.class),
+
+	/** See {@link EntryHello}. */
+	ENTRY_HELLO(20, EntryHello.class),
+
+	/** See {@link EntryHeartbeat}. */
+	ENTRY_HEARTBEAT(21, EntryHeartbeat.class),
+
+	/** See {@link Dispatch}. */
+	DISPATCH(22, Dispatch.class),
+
+	/** See {@link Fence}. */
+	FENCE(23, Fence.class),
+
+	/** See {@link DrainAck}. */
+	DRAIN_ACK(24, DrainAck.class),
+
+	/** See {@link GoodbyeAck}. */
+	GOODBYE_ACK(25, GoodbyeAck.class),
+
+	/** See {@link DocumentNotice}. */
+	DOCUMENT_NOTICE(30, DocumentNotice.class),
+
+	/** See {@link PeerHello}. */
+	PEER_HELLO(40, PeerHello.class),
+
+	/** See {@link PeerWelcome}. */
+	PEER_WELCOME(41, PeerWelcome.class),
+
+	/** See {@link PeerHeartbeat}. */
+	PEER_HEARTBEAT(42, PeerHeartbeat.class),
+
+	/** See {@link PeerEcho}. */
+	PEER_ECHO(43, PeerEcho.class),
+
+	/** See {@link AgentNotices}. */
+	AGENT_NOTICES(44, AgentNotices.class),
+
+	/** See {@link NoticesAck}. */
+	NOTICES_ACK(45, NoticesAck.class),
+
+	/** See {@link JobAsk}. */
+	JOB_ASK(46, JobAsk.class),
+
+	/** See {@link JobAskReply}. */
+	JOB_ASK_REPLY(47, JobAskReply.class),
+
+	/** See {@link JobEnded}. */
+	JOB_ENDED(48, JobEnded.class),
+
+	/** See {@link JobCancel}. */
+	JOB_CANCEL(49, JobCancel.class),
+
+	/** See {@link PeerGoodbye}. */
+	PEER_GOODBYE(50, PeerGoodbye.class);
+
+	private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
+
+	private static final MessageType[] BY_NUMBER = new MessageType[128];
+
+	static {
+		for (MessageType t : values()) {
+			BY_CLASS.put(t.messageClass, t);
+			BY_NUMBER[t.number] = t;
+		}
+	}
+
+	private final int number;
+
+	private final Class<? extends Message> messageClass;
+
+	MessageType(int number, Class<? extends Message> messageClass) {
+		this.number = number;
+		this.messageClass = messageClass;
+	}
+
+	public int number() {
+		return this.number;
+	}
+
+	public Class<? extends Message> messageClass() {
+		return this.messageClass;
+	}
+
+	/**
+	 * Find the type of a message.
+	 * @param m the message
+	 * @return its type
+	 */
+	public static MessageType of(Message m) {
+		return BY_CLASS.get(m.getClass());
+	}
+
+	/**
+	 * Find a type by its number.
+	 * @param number the number from a frame
+	 * @return the type, or empty for an unknown number
+	 */
+	public static Optional<MessageType> of(int number) {
+		return (number >= 0 && number < BY_NUMBER.length) ? Optional.ofNullable(BY_NUMBER[number]) : Optional.empty();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/message/PeerWelcome.java
@@ -0,0 +1,16 @@
+package org.baobabspar.message;
+
+import java.util.List;
+
+/**
+ * Answer to a PeerHello. Immutable.
+ *
+ * @param entry who answers
+ * @param echoMillis stamp of the PeerHello
+ * @param knownSinceMillis how long ago its knowledge of agents and entries begins
+ * @param peers other entries it knows
+ * @param agents the agents it knows
+ */
+public record PeerWelcome(EntryInfo entry, long echoMillis, long knownSinceMillis, List<EntryInfo> peers,
+		List<AgentNotice> agents) implements Message {
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/message/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Typed messages between the processes of the dispatcher.
+ */
+package org.baobabspar.message;
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/misc/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Small helpers without a home of their own.
+ */
+package org.baobabspar.misc;
--- /dev/null
+++ b/daemon/src/main/java/org/baobabspar/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry, the agent and the command line.
+ */
+package org.baobabspar.daemon;
--- /dev/null
+++ b/standin/src/main/java/org/baobabspar/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-ins for the platform log and for endpoints, for tests and the quick start only.
+ */
+package org.baobabspar.standin;
--- /dev/null
+++ b/wire/src/main/java/org/baobabspar/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Frames, codec and links between the processes of the dispatcher.
+ */
+package org.baobabspar.wire;
