--- a/core/src/main/java/org/baobabspar/entry/ClaimController.java
+++ b/core/src/main/java/org/baobabspar/entry/ClaimController.java
@@ -104,7 +104,7 @@
 			this.board.out().answer(requestId, known.answer());
 		}
 		else {
-			known.waiters().add(requestId);
+			known.addWaiter(new Waiter(requestId, spec.attempt()));
 		}
 	}
 
@@ -157,8 +157,11 @@
 
 	private void open(long requestId, JobSpec spec, JobRecord known, FencedKey fenced, boolean first) {
 		JobRecord j = new JobRecord(spec, claim(spec, known, fenced), this.board.now());
-		j.waiters().add(requestId);
+		j.addWaiter(new Waiter(requestId, spec.attempt()));
 		j.origin(firstAttempt(spec, known), first);
+		if (known != null && known.answer().resultCode().family() == CodeFamily.UNKNOWN) {
+			j.needFence();
+		}
 		DocumentVersion v = this.board.document(spec.stage()).orElseThrow();
 		TaskClass c = v.document().taskClass(spec.taskClass()).orElseThrow();
 		j.judgedBy(c, v.version());
@@ -195,6 +198,8 @@
 	private void ask(JobRecord j) {
 		j.enter(JobState.ASKING, this.board.now());
 		j.asked(true);
+		j.holder("");
+		j.fencedOut(false);
 		j.pendingReplies().clear();
 		for (PeerRecord p : this.board.peers().values()) {
 			if (this.peers.answers(p)) {
@@ -236,6 +241,7 @@
 		}
 		if (j.state().holdsTasks() || j.claim().compareTo(m.claim()) > 0) {
 			j.remoteWaiters().add(link);
+			this.jobs.promise(m.jobId(), m.claim());
 			return JobStanding.HELD;
 		}
 		attach(j, from.address());
@@ -259,6 +265,7 @@
 	}
 
 	private void attach(JobRecord j, String address) {
+		j.distrust();
 		j.holder(address);
 		j.pendingReplies().clear();
 		j.enter(JobState.ATTACHED, this.board.now());
@@ -275,9 +282,9 @@
 			return;
 		}
 		switch (m.standing()) {
-			case HELD -> attach(j, address);
+			case HELD -> j.holder(address);
 			case BODY_DIFFERS -> this.jobs.fail(j, ResultCode.KEY_REUSED, "another body was submitted under this key");
-			case SUPERSEDED -> this.jobs.superseded(j);
+			case SUPERSEDED -> j.fencedOut(true);
 			case IN_DOUBT -> j.needFence();
 			case YIELDED -> j.remoteWaiters().add(address);
 			default -> {
@@ -288,7 +295,13 @@
 
 	private void afterReply(JobRecord j) {
 		if (j.state() == JobState.ASKING && j.pendingReplies().isEmpty()) {
-			if (j.fenceNeeded() || agentsMustBeAsked(j)) {
+			if (!j.holder().isEmpty()) {
+				attach(j, j.holder());
+			}
+			else if (j.fencedOut()) {
+				this.jobs.superseded(j);
+			}
+			else if (j.fenceNeeded() || agentsMustBeAsked(j)) {
 				fence(j);
 			}
 			else {
@@ -397,9 +410,21 @@
 	 */
 	void ended(JobEnded m) {
 		JobRecord j = this.board.jobs().get(m.answer().jobId());
-		if (j != null && j.state() == JobState.ATTACHED) {
+		if (j == null || j.state() != JobState.ATTACHED && j.state() != JobState.ASKING) {
+			return;
+		}
+		boolean settled = m.answer().resultCode().family() == CodeFamily.COMPLETE
+				|| m.answer().resultCode().family() == CodeFamily.FAILED;
+		if (settled || (j.state() == JobState.ATTACHED && !j.fenceNeeded())) {
 			this.jobs.end(j, m.answer());
 		}
+		else if (j.state() == JobState.ATTACHED) {
+			this.jobs.end(j, askLater(j.spec(), "not run by another entry, and not every entry has answered"));
+		}
+		else {
+			j.holder("");
+			j.needFence();
+		}
 	}
 
 	/**
@@ -424,7 +449,7 @@
 			this.board.out().answer(requestId, j.answer());
 			return;
 		}
-		j.waiters().add(requestId);
+		j.addWaiter(new Waiter(requestId, 0));
 		if (j.state() == JobState.ATTACHED) {
 			this.board.send(j.holder(), new JobCancel(jobId));
 		}
@@ -439,13 +464,13 @@
 	 */
 	void cancel(String jobId) {
 		JobRecord j = this.board.jobs().get(jobId);
-		if (j == null || j.state() == JobState.ENDED || j.state() == JobState.ATTACHED) {
+		if (j == null || !j.state().cancellable()) {
 			return;
 		}
 		if (j.state() == JobState.RUNNING) {
 			this.jobs.recall(j, ResultCode.CANCELLED, ResultCode.CANCELLED_STARTED);
 		}
-		else if (j.trusted()) {
+		else if (j.trusted() && !j.started()) {
 			this.jobs.fail(j, ResultCode.CANCELLED, ResultCode.CANCELLED.message());
 		}
 		else {
--- a/core/src/main/java/org/baobabspar/entry/EntryCore.java
+++ b/core/src/main/java/org/baobabspar/entry/EntryCore.java
@@ -71,7 +71,7 @@
 		this.membership = new MembershipController(this.board);
 		this.peers = new PeerController(this.board, this.membership);
 		this.placement = new PlacementController(this.board, this.membership);
-		this.jobs = new JobController(this.board, this.placement);
+		this.jobs = new JobController(this.board, this.placement, this.peers);
 		AdmissionController admission = new AdmissionController(this.board, this.membership);
 		this.claims = new ClaimController(this.board, admission, this.jobs, this.placement, this.membership,
 				this.peers);
@@ -108,7 +108,7 @@
 			this.board.out().answer(requestId, j.answer());
 		}
 		else {
-			j.waiters().add(requestId);
+			j.addWaiter(new Waiter(requestId, 0));
 		}
 		return true;
 	}
@@ -121,7 +121,7 @@
 	public void leave(String jobId, long requestId) {
 		JobRecord j = this.board.jobs().get(jobId);
 		if (j != null) {
-			j.waiters().remove(requestId);
+			j.waiters().removeIf((w) -> w.requestId() == requestId);
 		}
 	}
 
@@ -339,6 +339,7 @@
 		if (now - this.lastTickMillis > this.board.settings().pauseMillis()) {
 			this.board.advance(now);
 			this.board.quarantine();
+			this.board.liveJobs().values().forEach(JobRecord::unprove);
 			this.lastTickMillis = now;
 		}
 		this.board.advance(now);
--- a/core/src/main/java/org/baobabspar/entry/EntrySettings.java
+++ b/core/src/main/java/org/baobabspar/entry/EntrySettings.java
@@ -10,7 +10,8 @@
  * @param lostMillis silence of an agent after which its tasks are given up as unknown
  * @param askMillis how long peers may take to answer about a job
  * @param fenceMillis how long agents may take to answer a fence
- * @param pauseMillis gap between ticks that counts as a pause of this process
+ * @param pauseMillis gap between ticks that counts as a pause of this process; below the
+ * time that peers wait for an answer, so that a pause either is answered in time or noticed
  * @param quarantineMillis how long after a start or a pause every submission is treated
  * as a resubmission
  * @param ageMarginMillis added to the declared age of a resubmission
@@ -23,8 +24,9 @@
 		long ageMarginMillis, int maxJobs, int maxAsksPerSecond, PlacingPolicy policy) {
 
 	public EntrySettings {
-		if (suspectMillis > leaseMillis || lostMillis < leaseMillis || windowMillis < lostMillis) {
-			throw new IllegalArgumentException("suspect <= lease <= lost <= window");
+		if (suspectMillis > leaseMillis || lostMillis < leaseMillis || windowMillis < lostMillis || pauseMillis >= askMillis
+				|| suspectMillis >= askMillis) {
+			throw new IllegalArgumentException("suspect <= lease <= lost <= window and pause, suspect < ask");
 		}
 	}
 
@@ -33,7 +35,7 @@
 	 * @return the settings
 	 */
 	public static EntrySettings defaults() {
-		return new EntrySettings(300_000, 3_000, 500, 1_500, 5_000, 300, 1_000, 1_000, 3_000, 1_000, 200_000, 2_000,
+		return new EntrySettings(300_000, 3_000, 500, 1_500, 5_000, 2_000, 1_000, 1_000, 1_000, 1_000, 200_000, 2_000,
 				PlacingPolicy.EXPECTED_FINISH);
 	}
 
--- a/core/src/main/java/org/baobabspar/entry/JobController.java
+++ b/core/src/main/java/org/baobabspar/entry/JobController.java
@@ -34,26 +34,30 @@
 
 	private final PlacementController placement;
 
-	JobController(Blackboard board, PlacementController placement) {
+	private final PeerController peers;
+
+	JobController(Blackboard board, PlacementController placement, PeerController peers) {
 		this.board = board;
 		this.placement = placement;
+		this.peers = peers;
 	}
 
 	/**
 	 * End a job and answer its callers.
 	 * @param j the job
-	 * @param a the answer
+	 * @param answer the answer
 	 */
-	void end(JobRecord j, JobAnswer a) {
+	void end(JobRecord j, JobAnswer answer) {
 		if (j.state() == JobState.ENDED) {
 			return;
 		}
+		JobAnswer a = proved(j, answer);
 		Set<String> agents = agentsOf(j);
 		this.placement.dequeue(j);
 		j.end(a, this.board.now());
 		this.board.liveJobs().remove(j.id());
-		for (Long w : j.waiters()) {
-			this.board.out().answer(w, a);
+		for (Waiter w : j.waiters()) {
+			this.board.out().answer(w.requestId(), provedFor(j, w, a));
 		}
 		for (String link : j.remoteWaiters()) {
 			this.board.send(link, new JobEnded(a));
@@ -75,6 +79,28 @@
 		}
 	}
 
+	/**
+	 * A job that has waited may have been resubmitted through an entry that could not reach
+	 * this one. That nothing was run is said only if all entries were in touch.
+	 */
+	private JobAnswer proved(JobRecord j, JobAnswer a) {
+		if (a.resultCode().family() != CodeFamily.NOT_RUN) {
+			return a;
+		}
+		boolean fresh = this.board.now() == j.arrivedMillis();
+		if (!j.unproved() && (fresh || this.peers.inTouchSince(j.arrivedMillis()))) {
+			return a;
+		}
+		return JobAnswer.failed(j.id(), ResultCode.ASK_LATER, "not run here; not every entry can be asked");
+	}
+
+	private static JobAnswer provedFor(JobRecord j, Waiter w, JobAnswer a) {
+		if (a.resultCode().family() != CodeFamily.NOT_RUN || !j.mayBeElsewhere(w)) {
+			return a;
+		}
+		return JobAnswer.failed(j.id(), ResultCode.ASK_LATER, "not run here; another attempt may be elsewhere");
+	}
+
 	/**
 	 * Promise to give way to a claim.
 	 * @param jobId the job
--- a/core/src/main/java/org/baobabspar/entry/JobRecord.java
+++ b/core/src/main/java/org/baobabspar/entry/JobRecord.java
@@ -38,7 +38,7 @@
 
 	private final long deadlineMillis;
 
-	private final List<Long> waiters = new ArrayList<>(1);
+	private final List<Waiter> waiters = new ArrayList<>(1);
 
 	private final Set<String> remoteWaiters = new LinkedHashSet<>(0);
 
@@ -70,6 +70,14 @@
 
 	private String holder = "";
 
+	private boolean fencedOut;
+
+	private boolean unproved;
+
+	private int coveredAttempt;
+
+	private Waiter opener;
+
 	private int endedTasks;
 
 	private boolean started;
@@ -89,6 +97,7 @@
 		this.id = spec.id();
 		this.bodyHash = spec.bodyHash();
 		this.claim = claim;
+		this.coveredAttempt = Math.max(0, claim.attempt() - 1);
 		this.arrivedMillis = now;
 		this.deadlineMillis = now + spec.deadlineMillis();
 		this.results = new byte[spec.tasks().size()][];
@@ -165,6 +174,23 @@
 		return this.trusted;
 	}
 
+	/** Note that other attempts may have gone on unseen, as during a pause of this process. */
+	void unprove() {
+		this.unproved = true;
+	}
+
+	/**
+	 * Tell whether it must not be said that nothing was run.
+	 * @return {@code true} if another attempt may have gone on unseen
+	 */
+	boolean unproved() {
+		return this.unproved;
+	}
+
+	void distrust() {
+		this.trusted = false;
+	}
+
 	void origin(long firstMillis, boolean trust) {
 		this.firstAttemptMillis = firstMillis;
 		this.trusted = trust;
@@ -202,10 +228,44 @@
 		this.holder = address;
 	}
 
-	List<Long> waiters() {
+	/**
+	 * Tell whether another entry has promised to give way to a higher claim.
+	 * @return {@code true} if the job cannot go on under its claim
+	 */
+	boolean fencedOut() {
+		return this.fencedOut;
+	}
+
+	void fencedOut(boolean value) {
+		this.fencedOut = value;
+	}
+
+	List<Waiter> waiters() {
 		return this.waiters;
 	}
 
+	/**
+	 * Add a caller. As long as the attempts that come here follow one another without a gap,
+	 * none of them can be elsewhere.
+	 * @param w the caller
+	 */
+	void addWaiter(Waiter w) {
+		this.waiters.add(w);
+		this.opener = (this.opener != null) ? this.opener : w;
+		if (w.attempt() == this.coveredAttempt + 1) {
+			this.coveredAttempt++;
+		}
+	}
+
+	/**
+	 * Tell whether an attempt between the claim of this job and a caller's may be elsewhere.
+	 * @param w the caller
+	 * @return {@code true} if the caller must not be told that nothing was run
+	 */
+	boolean mayBeElsewhere(Waiter w) {
+		return this.opener != w && (w.attempt() == 0 || w.attempt() > this.coveredAttempt);
+	}
+
 	Set<String> remoteWaiters() {
 		return this.remoteWaiters;
 	}
--- a/core/src/main/java/org/baobabspar/entry/JobState.java
+++ b/core/src/main/java/org/baobabspar/entry/JobState.java
@@ -31,4 +31,12 @@
 		return this == RUNNING || this == RECALLING;
 	}
 
+	/**
+	 * Tell whether a cancellation still has something to do here.
+	 * @return {@code true} for a job that is neither ended, ending nor held elsewhere
+	 */
+	boolean cancellable() {
+		return this == ASKING || this == FENCING || this == RUNNING;
+	}
+
 }
--- a/core/src/main/java/org/baobabspar/entry/PeerController.java
+++ b/core/src/main/java/org/baobabspar/entry/PeerController.java
@@ -6,6 +6,7 @@
 
 import org.baobabspar.message.AgentNotices;
 import org.baobabspar.message.EntryInfo;
+import org.baobabspar.message.EntryLoss;
 import org.baobabspar.message.NoticesAck;
 import org.baobabspar.message.PeerEcho;
 import org.baobabspar.message.PeerHeartbeat;
@@ -56,6 +57,9 @@
 		PeerRecord p = this.board.peers().get(e.address());
 		if (p != null && p.info() == null) {
 			p.info(e);
+			if (p.gone()) {
+				lost(e.ref(), this.board.now());
+			}
 		}
 	}
 
@@ -80,11 +84,23 @@
 
 	private void gone(PeerRecord p) {
 		if (p.info() != null && !p.gone()) {
-			this.board.lostEntries().add(new LostEntry(p.info().ref(), this.board.now()));
+			lost(p.info().ref(), this.board.now());
 		}
 		p.goneAt(this.board.now());
 	}
 
+	// The later of two times is kept: it lets fewer resubmissions through unfenced.
+	private void lost(String ref, long time) {
+		long known = Long.MIN_VALUE;
+		for (LostEntry l : this.board.lostEntries()) {
+			known = l.ref().equals(ref) ? l.goneMillis() : known;
+		}
+		if (time > known) {
+			this.board.lostEntries().removeIf((l) -> l.ref().equals(ref));
+			this.board.lostEntries().add(new LostEntry(ref, time));
+		}
+	}
+
 	void hello(String link, PeerHello h) {
 		this.board.peerLinks().put(link, h.entry());
 		learn(h.entry());
@@ -97,13 +113,17 @@
 		this.peersSent.put(link, peers.hashCode());
 		long known = this.board.now() - this.board.knownSinceMillis();
 		this.board.send(link,
-				new PeerWelcome(this.board.self(), h.stampMillis(), known, peers, this.membership.notices()));
+				new PeerWelcome(this.board.self(), h.stampMillis(), known, peers, this.membership.notices(), losses()));
+	}
+
+	private List<EntryLoss> losses() {
+		return this.board.lostEntries().stream().map((l) -> new EntryLoss(l.ref(), this.board.now() - l.goneMillis())).toList();
 	}
 
 	private void replace(PeerRecord p, EntryInfo e) {
 		if (p.info() != null && !p.info().ref().equals(e.ref())) {
 			if (!p.gone()) {
-				this.board.lostEntries().add(new LostEntry(p.info().ref(), this.board.now()));
+				lost(p.info().ref(), this.board.now());
 			}
 			p.back();
 		}
@@ -125,6 +145,7 @@
 		p.welcome(w.entry());
 		p.confirm(w.echoMillis());
 		w.agents().forEach((n) -> this.membership.learn(w.entry().ref(), n));
+		w.losses().forEach((l) -> lost(l.ref(), this.board.now() - l.agoMillis()));
 		this.board.knowSince(this.board.now() - w.knownSinceMillis());
 		learn(w.peers());
 	}
@@ -182,6 +203,21 @@
 				&& this.board.now() - p.confirmedMillis() <= this.board.settings().suspectMillis();
 	}
 
+	/**
+	 * Tell whether no resubmission can have passed this entry by unseen. The bound is shorter
+	 * than the silence after which a peer stops asking this entry.
+	 * @param since the arrival of the job in question
+	 * @return {@code true} if every peer has echoed a stamp just now and none has ended
+	 */
+	boolean inTouchSince(long since) {
+		long bound = this.board.settings().suspectMillis() - this.board.settings().heartbeatMillis();
+		return !lostSince(since) && this.board.peers()
+			.values()
+			.stream()
+			.allMatch((p) -> p.gone() || p.info() == null
+					|| (answers(p) && this.board.now() - p.confirmedMillis() < bound));
+	}
+
 	/**
 	 * Tell whether this entry has heard from all entries it knows of.
 	 * @return {@code true} once submissions may be taken
@@ -207,7 +243,7 @@
 		long now = this.board.now();
 		EntrySettings s = this.board.settings();
 		for (PeerRecord p : List.copyOf(this.board.peers().values())) {
-			if (p.linked() && now - p.sentMillis() >= s.heartbeatMillis()) {
+			if (p.linked() && now - p.sentMillis() >= s.heartbeatMillis() / 2) {
 				p.sent(now);
 				this.board.send(p.address(), new PeerHeartbeat(now));
 			}
--- a/core/src/main/java/org/baobabspar/message/PeerWelcome.java
+++ b/core/src/main/java/org/baobabspar/message/PeerWelcome.java
@@ -10,7 +10,9 @@
  * @param knownSinceMillis how long ago its knowledge of agents and entries begins
  * @param peers other entries it knows
  * @param agents the agents it knows
+ * @param losses entries that have ended within the window
  */
 public record PeerWelcome(EntryInfo entry, long echoMillis, long knownSinceMillis, List<EntryInfo> peers,
-		List<AgentNotice> agents) implements Message {
+		List<AgentNotice> agents,
+		List<EntryLoss> losses) implements Message {
 }
--- a/daemon/src/main/java/org/baobabspar/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/EntryDaemon.java
@@ -38,7 +38,7 @@
 			Setting.text("log", "127.0.0.1:7000", "address of the platform log, host:port"),
 			Setting.text("environment", "production", "environment whose documents are followed"),
 			Setting.number("window-millis", 300_000, 20_000, 3_600_000, "ms", "resubmission window"),
-			Setting.number("quarantine-millis", 3_000, 0, 60_000, "ms",
+			Setting.number("quarantine-millis", 1_000, 0, 60_000, "ms",
 					"time after a start or pause without submissions"),
 			Setting.number("usage-millis", 5_000, 100, 600_000, "ms", "interval of reports of use to the log"),
 			Setting.number("drain-millis", 30_000, 0, 3_600_000, "ms", "longest time to finish work at shutdown"),
--- a/standin/src/main/java/org/baobabspar/standin/LogStandin.java
+++ b/standin/src/main/java/org/baobabspar/standin/LogStandin.java
@@ -130,7 +130,7 @@
 
 	private static long number(HttpServerRequest q, String name, long standard) {
 		List<String> v = new QueryStringDecoder(q.uri()).parameters().get(name);
-		return (v == null) ? standard : Long.parseLong(v.get(0));
+		return (v != null) ? Long.parseLong(v.get(0)) : standard;
 	}
 
 	@Override
