Fences and claims that outlive agents and contact

Cause: an agent that answered no fence because it linked later counted as answered; an agent replaced within the window had lost its fences, so an entry that was cut off could still dispatch under its old claim; requests that waited in a paused process looked younger than they were. Ruled out: telling superseded jobs on the next contact (the teller may be gone by then). Conclusion: a contested job may use only agents that every entry knew before contact was lost.

--- a/core/src/main/java/org/baobabspar/entry/AgentRecord.java
+++ b/core/src/main/java/org/baobabspar/entry/AgentRecord.java
@@ -42,6 +42,8 @@
 
 	private boolean own;
 
+	private long clearedMillis = Long.MAX_VALUE;
+
 	private int limit;
 
 	private int failuresInRow;
@@ -141,6 +143,18 @@
 		return this.knownToPeers;
 	}
 
+	/**
+	 * Return when every entry was first known to know the agent.
+	 * @return monotonic milliseconds, the greatest number if never
+	 */
+	long clearedMillis() {
+		return this.clearedMillis;
+	}
+
+	void clearedAt(long now) {
+		this.clearedMillis = Math.min(this.clearedMillis, now);
+	}
+
 	long noticeSequence() {
 		return this.noticeSequence;
 	}
--- a/core/src/main/java/org/baobabspar/entry/ClaimController.java
+++ b/core/src/main/java/org/baobabspar/entry/ClaimController.java
@@ -1,9 +1,7 @@
 package org.baobabspar.entry;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 import org.baobabspar.document.DocumentVersion;
 import org.baobabspar.document.TaskClass;
@@ -197,6 +195,7 @@
 
 	private void ask(JobRecord j) {
 		j.enter(JobState.ASKING, this.board.now());
+		j.claimedAt(this.board.now());
 		j.asked(true);
 		j.holder("");
 		j.fencedOut(false);
@@ -320,6 +319,7 @@
 	private void fence(JobRecord j) {
 		j.enter(JobState.FENCING, this.board.now());
 		j.pendingReplies().clear();
+		j.fencedAgents().clear();
 		j.asked(true);
 		for (AgentRecord a : List.copyOf(this.board.agents().values())) {
 			if (this.jobs.fence(j, a.ref(), PendingFence.Purpose.CLAIM)) {
@@ -351,6 +351,7 @@
 			return;
 		}
 		j.pendingReplies().remove(f.agentRef());
+		j.fencedAgents().add(f.agentRef());
 		adopt(j, f.agentRef(), r.started());
 		if (j.state() == JobState.FENCING && j.pendingReplies().isEmpty()) {
 			afterFence(j);
@@ -374,10 +375,8 @@
 			j.enter(JobState.RUNNING, this.board.now());
 			return;
 		}
-		Set<String> answered = new HashSet<>(this.board.agents().keySet());
-		answered.removeIf((ref) -> j.pendingReplies().contains(ref) || !this.board.agents().get(ref).linked());
 		j.pendingReplies().clear();
-		if (!j.trusted() && doubtful(j, answered)) {
+		if (!j.trusted() && doubtful(j)) {
 			boolean late = this.board.now() - j.firstAttemptMillis() > this.board.settings().windowMillis();
 			ResultCode c = (late && j.spec().ageMillis() >= 0) ? ResultCode.WINDOW_PASSED : ResultCode.OUTCOME_UNKNOWN;
 			this.jobs.fail(j, c, c.message());
@@ -386,10 +385,10 @@
 		admit(j);
 	}
 
-	private boolean doubtful(JobRecord j, Set<String> answered) {
+	private boolean doubtful(JobRecord j) {
 		boolean ledgersExpired = this.board.now() - j.firstAttemptMillis() > this.board.settings().windowMillis();
 		return ledgersExpired || this.board.knownSinceMillis() > j.firstAttemptMillis()
-				|| this.membership.doubtful(j.firstAttemptMillis(), answered);
+				|| this.membership.doubtful(j.firstAttemptMillis(), j.fencedAgents());
 	}
 
 	private void admit(JobRecord j) {
--- a/core/src/main/java/org/baobabspar/entry/EntryCore.java
+++ b/core/src/main/java/org/baobabspar/entry/EntryCore.java
@@ -343,6 +343,7 @@
 			this.lastTickMillis = now;
 		}
 		this.board.advance(now);
+		this.peers.contestJobs();
 	}
 
 	/**
--- a/core/src/main/java/org/baobabspar/entry/EntrySettings.java
+++ b/core/src/main/java/org/baobabspar/entry/EntrySettings.java
@@ -14,7 +14,8 @@
  * time that peers wait for an answer, so that a pause either is answered in time or noticed
  * @param quarantineMillis how long after a start or a pause every submission is treated
  * as a resubmission
- * @param ageMarginMillis added to the declared age of a resubmission
+ * @param ageMarginMillis added to the declared age of a resubmission; above the longest
+ * pause that is not noticed, for which the request may have waited in a buffer
  * @param maxJobs most jobs held, ended ones included
  * @param maxAsksPerSecond most resubmissions looked into in a second
  * @param policy how agents are chosen
@@ -25,8 +26,8 @@
 
 	public EntrySettings {
 		if (suspectMillis > leaseMillis || lostMillis < leaseMillis || windowMillis < lostMillis || pauseMillis >= askMillis
-				|| suspectMillis >= askMillis) {
-			throw new IllegalArgumentException("suspect <= lease <= lost <= window and pause, suspect < ask");
+				|| suspectMillis >= askMillis || ageMarginMillis <= pauseMillis) {
+			throw new IllegalArgumentException("suspect <= lease <= lost <= window and pause, suspect < ask and pause < margin");
 		}
 	}
 
@@ -35,7 +36,7 @@
 	 * @return the settings
 	 */
 	public static EntrySettings defaults() {
-		return new EntrySettings(300_000, 3_000, 500, 1_500, 5_000, 2_000, 1_000, 1_000, 1_000, 1_000, 200_000, 2_000,
+		return new EntrySettings(300_000, 3_000, 500, 1_500, 5_000, 2_000, 1_000, 1_000, 1_000, 2_000, 200_000, 2_000,
 				PlacingPolicy.EXPECTED_FINISH);
 	}
 
--- a/core/src/main/java/org/baobabspar/entry/JobRecord.java
+++ b/core/src/main/java/org/baobabspar/entry/JobRecord.java
@@ -44,6 +44,8 @@
 
 	private final Set<String> pendingReplies = new HashSet<>(0);
 
+	private final Set<String> fencedAgents = new HashSet<>(0);
+
 	private final Deque<Integer> waiting = new ArrayDeque<>();
 
 	private final Map<Integer, Placement> placements = new HashMap<>();
@@ -74,6 +76,10 @@
 
 	private boolean unproved;
 
+	private long claimedMillis;
+
+	private long contestedMillis = Long.MAX_VALUE;
+
 	private int coveredAttempt;
 
 	private Waiter opener;
@@ -99,6 +105,7 @@
 		this.claim = claim;
 		this.coveredAttempt = Math.max(0, claim.attempt() - 1);
 		this.arrivedMillis = now;
+		this.claimedMillis = now;
 		this.deadlineMillis = now + spec.deadlineMillis();
 		this.results = new byte[spec.tasks().size()][];
 	}
@@ -174,6 +181,32 @@
 		return this.trusted;
 	}
 
+	/**
+	 * Note when the present claim was made: agents that came up later have not seen it.
+	 * @param now monotonic milliseconds
+	 */
+	void claimedAt(long now) {
+		this.claimedMillis = now;
+	}
+
+	/**
+	 * Note that a higher claim may have been made unseen after a moment.
+	 * @param since the last moment at which all entries were in touch
+	 */
+	void contest(long since) {
+		this.unproved = true;
+		this.contestedMillis = Math.min(this.contestedMillis, Math.max(since, this.claimedMillis));
+	}
+
+	/**
+	 * Return until when an agent must have been known to all entries to be given tasks of
+	 * this job: a higher claim made later has fenced those agents, but not newer ones.
+	 * @return monotonic milliseconds
+	 */
+	long contestedMillis() {
+		return this.contestedMillis;
+	}
+
 	/** Note that other attempts may have gone on unseen, as during a pause of this process. */
 	void unprove() {
 		this.unproved = true;
@@ -220,6 +253,14 @@
 		return this.pendingReplies;
 	}
 
+	/**
+	 * Return the agents that have answered the fence of the present claim.
+	 * @return references of agents
+	 */
+	Set<String> fencedAgents() {
+		return this.fencedAgents;
+	}
+
 	String holder() {
 		return this.holder;
 	}
--- a/core/src/main/java/org/baobabspar/entry/MembershipController.java
+++ b/core/src/main/java/org/baobabspar/entry/MembershipController.java
@@ -109,12 +109,17 @@
 
 	private AgentNotice notice(AgentRecord a) {
 		boolean usable = a.linked() && a.state() != AgentState.LOST;
-		long idle = usable ? 0 : Math.max(0, this.board.now() - a.usableUntilMillis());
-		return new AgentNotice(a.info().agentId(), a.info().incarnation(), a.state(), idle);
+		long idle = usable ? 0 : Math.max(0, this.board.now() - lastUsable(a));
+		return new AgentNotice(a.info().agentId(), a.info().incarnation(), usable ? a.state() : AgentState.LOST, idle);
 	}
 
+	/**
+	 * Describe all agents, those that others told of included: whoever knew them first may be
+	 * gone by now.
+	 * @return a notice for each
+	 */
 	List<AgentNotice> notices() {
-		return this.board.agents().values().stream().filter(AgentRecord::own).map(this::notice).toList();
+		return this.board.agents().values().stream().map(this::notice).toList();
 	}
 
 	void learn(String peerRef, AgentNotice n) {
@@ -139,8 +144,12 @@
 	 * entry
 	 */
 	boolean usable(AgentRecord a) {
-		return a.linked() && a.state().takesWork()
+		boolean usable = a.linked() && a.state().takesWork()
 				&& this.board.now() - a.heardMillis() < this.board.settings().suspectMillis() && knownToAll(a);
+		if (usable) {
+			a.clearedAt(this.board.now());
+		}
+		return usable;
 	}
 
 	private boolean knownToAll(AgentRecord a) {
--- a/core/src/main/java/org/baobabspar/entry/PeerController.java
+++ b/core/src/main/java/org/baobabspar/entry/PeerController.java
@@ -85,6 +85,7 @@
 	private void gone(PeerRecord p) {
 		if (p.info() != null && !p.gone()) {
 			lost(p.info().ref(), this.board.now());
+			contestSince(p.confirmedMillis());
 		}
 		p.goneAt(this.board.now());
 	}
@@ -124,6 +125,7 @@
 		if (p.info() != null && !p.info().ref().equals(e.ref())) {
 			if (!p.gone()) {
 				lost(p.info().ref(), this.board.now());
+				contestSince(p.confirmedMillis());
 			}
 			p.back();
 		}
@@ -210,12 +212,25 @@
 	 * @return {@code true} if every peer has echoed a stamp just now and none has ended
 	 */
 	boolean inTouchSince(long since) {
+		return !lostSince(since) && this.board.peers().values().stream().allMatch(this::inTouch);
+	}
+
+	private boolean inTouch(PeerRecord p) {
 		long bound = this.board.settings().suspectMillis() - this.board.settings().heartbeatMillis();
-		return !lostSince(since) && this.board.peers()
-			.values()
-			.stream()
-			.allMatch((p) -> p.gone() || p.info() == null
-					|| (answers(p) && this.board.now() - p.confirmedMillis() < bound));
+		return p.gone() || p.info() == null || (answers(p) && this.board.now() - p.confirmedMillis() < bound);
+	}
+
+	/** Note on every job which peers may have made a higher claim unseen, and since when. */
+	void contestJobs() {
+		for (PeerRecord p : this.board.peers().values()) {
+			if (!inTouch(p)) {
+				contestSince(p.confirmedMillis());
+			}
+		}
+	}
+
+	private void contestSince(long since) {
+		this.board.liveJobs().values().forEach((j) -> j.contest(since));
 	}
 
 	/**
--- a/core/src/main/java/org/baobabspar/entry/PlacementController.java
+++ b/core/src/main/java/org/baobabspar/entry/PlacementController.java
@@ -193,7 +193,7 @@
 	 * looked at again, else how many tasks were held
 	 */
 	private int placeFrom(PlacingView v, JobRecord j, int headroom, int lookahead) {
-		v.forClass(j.taskClass().name());
+		v.forJob(j);
 		boolean urgent = j.taskClass().urgency() == 0;
 		int held = 0;
 		while (held < Math.min(lookahead, j.waitingTasks()) && (urgent || v.freeCredits() > headroom)) {
--- a/core/src/main/java/org/baobabspar/entry/PlacingView.java
+++ b/core/src/main/java/org/baobabspar/entry/PlacingView.java
@@ -27,6 +27,8 @@
 
 	private String taskClass = "";
 
+	private long contestedMillis = Long.MAX_VALUE;
+
 	PlacingView(List<AgentRecord> agents, ServiceModel model, SplittableRandom random, long now) {
 		this.agents = agents;
 		this.model = model;
@@ -34,17 +36,25 @@
 		this.now = now;
 	}
 
-	void forClass(String name) {
-		this.taskClass = name;
+	void forJob(JobRecord j) {
+		this.taskClass = j.taskClass().name();
+		this.contestedMillis = j.contestedMillis();
 	}
 
+	/**
+	 * Return the agents that may be given tasks of the present job.
+	 * @return agents that any higher claim on the job has fenced
+	 */
 	List<AgentRecord> agents() {
-		return this.agents;
+		if (this.contestedMillis == Long.MAX_VALUE) {
+			return this.agents;
+		}
+		return this.agents.stream().filter((a) -> a.clearedMillis() <= this.contestedMillis).toList();
 	}
 
 	List<AgentRecord> free() {
 		List<AgentRecord> r = new ArrayList<>();
-		for (AgentRecord a : this.agents) {
+		for (AgentRecord a : agents()) {
 			if (freeCredits(a) > 0) {
 				r.add(a);
 			}
