Yields keep their doubt, re-asks go above promises, credits return to the dispatcher

Cause: an entry that gave way kept its doubt to itself; one that asked again after it had given way went on under its old claim; a task taken over by another entry never gave its credit back to the entry that had dispatched it, which starved on small fleets. Ruled out: a lease on attachment (pauses break it).

--- a/core/src/main/java/org/baobabspar/agent/AgentCore.java
+++ b/core/src/main/java/org/baobabspar/agent/AgentCore.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.baobabspar.message.AgentGoodbye;
 import org.baobabspar.message.AgentHeartbeat;
@@ -274,19 +275,28 @@
 			this.out.send(l.link(), new FenceReply(f.fenceId(), f.jobId(), false, bodyDiffers, List.of()));
 			return;
 		}
-		withdrawWaiting(j, f.claim());
+		withdrawWaiting(now, j, f.claim());
 		tellSuperseded(j, l.entryRef(), f.claim());
 		j.raise(f.claim(), l.entryRef());
 		this.out.send(l.link(), new FenceReply(f.fenceId(), f.jobId(), true, false, j.startedTasks()));
 	}
 
-	private void withdrawWaiting(LedgerJob j, Claim claim) {
+	private void withdrawWaiting(long now, LedgerJob j, Claim claim) {
 		if (j.claim().compareTo(claim) >= 0) {
 			return;
 		}
 		List<LedgerTask> stopped = this.waiting.stream().filter((t) -> t.jobId().equals(j.jobId())).toList();
 		this.waiting.removeAll(stopped);
-		stopped.forEach((t) -> this.ledger.withdraw(j, t));
+		for (LedgerTask t : stopped) {
+			this.ledger.withdraw(j, t);
+			linkOf(t.ownerRef()).ifPresent((l) -> tellRefused(now, l, t, ResultCode.GATE_FENCED));
+		}
+	}
+
+	private void tellRefused(long now, EntryLink l, LedgerTask t, ResultCode code) {
+		int limit = limit(now, l);
+		l.sent(now, limit);
+		this.out.send(l.link(), new TaskRefused(t.jobId(), t.index(), t.dispatchId(), code.number(), now, limit));
 	}
 
 	private void tellSuperseded(LedgerJob j, String newOwnerRef, Claim claim) {
@@ -295,6 +305,12 @@
 		}
 	}
 
+	// The holder of the claim wants the result; the entry that dispatched it wants its
+	// credit.
+	private List<EntryLink> owners(LedgerJob j, LedgerTask t) {
+		return Stream.of(j.ownerRef(), t.ownerRef()).distinct().map(this::linkOf).flatMap(Optional::stream).toList();
+	}
+
 	private Optional<EntryLink> linkOf(String entryRef) {
 		return this.links.values().stream().filter((l) -> l.entryRef().equals(entryRef)).findFirst();
 	}
@@ -318,9 +334,7 @@
 		t.end(now, code.number(), result);
 		this.ledger.end(now, t);
 		startWaiting(now);
-		this.ledger.find(jobId)
-			.flatMap((j) -> linkOf(j.ownerRef()))
-			.ifPresent((l) -> tellEnded(now, l, t, t.dispatchId()));
+		this.ledger.find(jobId).ifPresent((j) -> owners(j, t).forEach((l) -> tellEnded(now, l, t, t.dispatchId())));
 		wakeStarved(now);
 	}
 
@@ -339,11 +353,7 @@
 		}
 		this.ledger.withdraw(job.get(), t);
 		health(now, false);
-		linkOf(job.get().ownerRef()).ifPresent((l) -> {
-			l.sent(now, 0);
-			this.out.send(l.link(), new TaskRefused(jobId, index, t.dispatchId(),
-					ResultCode.GATE_ENDPOINT_DOWN.number(), now, limit(now, l)));
-		});
+		owners(job.get(), t).forEach((l) -> tellRefused(now, l, t, ResultCode.GATE_ENDPOINT_DOWN));
 	}
 
 	private void tellEnded(long now, EntryLink l, LedgerTask t, long dispatchId) {
--- a/core/src/main/java/org/baobabspar/entry/ClaimController.java
+++ b/core/src/main/java/org/baobabspar/entry/ClaimController.java
@@ -175,15 +175,22 @@
 
 	private Claim claim(JobSpec spec, JobRecord known, FencedKey fenced) {
 		Claim own = new Claim(spec.attempt(), this.board.random().nextLong(Long.MAX_VALUE >> 1), 0);
-		Claim low = (fenced != null) ? fenced.claim() : own;
-		if (known != null && known.claim().compareTo(low) > 0) {
-			low = known.claim();
-		}
-		if (own.compareTo(low) >= 0) {
+		Claim c = (known != null) ? above(own, known.claim()) : own;
+		return (fenced != null) ? above(c, fenced.claim()) : c;
+	}
+
+	private Claim above(Claim own, Claim low) {
+		if (own.compareTo(low) > 0) {
 			return own;
 		}
-		return new Claim(low.attempt(), low.rank() + 1 + this.board.random().nextLong(Long.MAX_VALUE - low.rank() - 1),
-				0);
+		long rank = low.rank() + 1 + this.board.random().nextLong(Long.MAX_VALUE - low.rank() - 1);
+		return new Claim(low.attempt(), rank, 0);
+	}
+
+	private void askAgain(JobRecord j) {
+		FencedKey f = this.board.fencedKeys().get(j.id());
+		j.reclaim((f != null) ? above(j.claim().next(), f.claim()) : j.claim().next());
+		ask(j);
 	}
 
 	private long firstAttempt(JobSpec spec, JobRecord known) {
@@ -229,7 +236,11 @@
 
 	private JobStanding standing(String link, EntryInfo from, JobAsk m) {
 		JobRecord j = this.board.jobs().get(m.jobId());
-		if (j == null || j.state() == JobState.ATTACHED) {
+		if (j == null) {
+			return promise(m);
+		}
+		if (j.state() == JobState.ATTACHED) {
+			j.unprove();
 			return promise(m);
 		}
 		if (j.bodyHash() != m.bodyHash() && !replaceable(j)) {
@@ -245,7 +256,7 @@
 		}
 		attach(j, from.address());
 		this.jobs.promise(m.jobId(), m.claim());
-		return JobStanding.YIELDED;
+		return j.fenceNeeded() ? JobStanding.YIELDED_IN_DOUBT : JobStanding.YIELDED;
 	}
 
 	private JobStanding promise(JobAsk m) {
@@ -286,6 +297,10 @@
 			case SUPERSEDED -> j.fencedOut(true);
 			case IN_DOUBT -> j.needFence();
 			case YIELDED -> j.remoteWaiters().add(address);
+			case YIELDED_IN_DOUBT -> {
+				j.remoteWaiters().add(address);
+				j.needFence();
+			}
 			default -> {
 			}
 		}
@@ -491,8 +506,7 @@
 				afterFence(j);
 			}
 			else if (j.state() == JobState.ATTACHED && !holderAnswers(j)) {
-				j.raiseClaim();
-				ask(j);
+				askAgain(j);
 			}
 		}
 	}
--- a/core/src/main/java/org/baobabspar/entry/EntrySettings.java
+++ b/core/src/main/java/org/baobabspar/entry/EntrySettings.java
@@ -11,7 +11,8 @@
  * @param askMillis how long peers may take to answer about a job
  * @param fenceMillis how long agents may take to answer a fence
  * @param pauseMillis gap between ticks that counts as a pause of this process; below the
- * time that peers wait for an answer, so that a pause either is answered in time or noticed
+ * time that peers wait for an answer, so that a pause either is answered in time or
+ * noticed
  * @param quarantineMillis how long after a start or a pause every submission is treated
  * as a resubmission
  * @param ageMarginMillis added to the declared age of a resubmission; above the longest
@@ -25,9 +26,10 @@
 		long ageMarginMillis, int maxJobs, int maxAsksPerSecond, PlacingPolicy policy) {
 
 	public EntrySettings {
-		if (suspectMillis > leaseMillis || lostMillis < leaseMillis || windowMillis < lostMillis || pauseMillis >= askMillis
-				|| suspectMillis >= askMillis || ageMarginMillis <= pauseMillis) {
-			throw new IllegalArgumentException("suspect <= lease <= lost <= window and pause, suspect < ask and pause < margin");
+		if (suspectMillis > leaseMillis || lostMillis < leaseMillis || windowMillis < lostMillis
+				|| pauseMillis >= askMillis || suspectMillis >= askMillis || ageMarginMillis <= pauseMillis) {
+			throw new IllegalArgumentException(
+					"suspect <= lease <= lost <= window and pause, suspect < ask and pause < margin");
 		}
 	}
 
--- a/core/src/main/java/org/baobabspar/entry/JobController.java
+++ b/core/src/main/java/org/baobabspar/entry/JobController.java
@@ -79,10 +79,9 @@
 		}
 	}
 
-	/**
-	 * A job that has waited may have been resubmitted through an entry that could not reach
-	 * this one. That nothing was run is said only if all entries were in touch.
-	 */
+	// A job that has waited may have been resubmitted through an entry that could not
+	// reach
+	// this one. That nothing was run is said only if all entries were in touch.
 	private JobAnswer proved(JobRecord j, JobAnswer a) {
 		if (a.resultCode().family() != CodeFamily.NOT_RUN) {
 			return a;
@@ -252,6 +251,7 @@
 		JobRecord j = f.job();
 		if (!r.accepted()) {
 			superseded(j);
+			giveBack(f, Set.of());
 			return;
 		}
 		Set<Integer> started = new HashSet<>();
--- a/core/src/main/java/org/baobabspar/entry/JobRecord.java
+++ b/core/src/main/java/org/baobabspar/entry/JobRecord.java
@@ -151,6 +151,10 @@
 		return this.claim;
 	}
 
+	void reclaim(Claim c) {
+		this.claim = c;
+	}
+
 	Claim raiseClaim() {
 		this.claim = this.claim.next();
 		return this.claim;
@@ -207,7 +211,10 @@
 		return this.contestedMillis;
 	}
 
-	/** Note that other attempts may have gone on unseen, as during a pause of this process. */
+	/**
+	 * Note that other attempts may have gone on unseen, as during a pause of this
+	 * process.
+	 */
 	void unprove() {
 		this.unproved = true;
 	}
@@ -286,8 +293,8 @@
 	}
 
 	/**
-	 * Add a caller. As long as the attempts that come here follow one another without a gap,
-	 * none of them can be elsewhere.
+	 * Add a caller. As long as the attempts that come here follow one another without a
+	 * gap, none of them can be elsewhere.
 	 * @param w the caller
 	 */
 	void addWaiter(Waiter w) {
@@ -299,7 +306,8 @@
 	}
 
 	/**
-	 * Tell whether an attempt between the claim of this job and a caller's may be elsewhere.
+	 * Tell whether an attempt between the claim of this job and a caller's may be
+	 * elsewhere.
 	 * @param w the caller
 	 * @return {@code true} if the caller must not be told that nothing was run
 	 */
--- a/core/src/main/java/org/baobabspar/entry/MembershipController.java
+++ b/core/src/main/java/org/baobabspar/entry/MembershipController.java
@@ -114,8 +114,8 @@
 	}
 
 	/**
-	 * Describe all agents, those that others told of included: whoever knew them first may be
-	 * gone by now.
+	 * Describe all agents, those that others told of included: whoever knew them first
+	 * may be gone by now.
 	 * @return a notice for each
 	 */
 	List<AgentNotice> notices() {
--- a/core/src/main/java/org/baobabspar/entry/PeerController.java
+++ b/core/src/main/java/org/baobabspar/entry/PeerController.java
@@ -118,7 +118,10 @@
 	}
 
 	private List<EntryLoss> losses() {
-		return this.board.lostEntries().stream().map((l) -> new EntryLoss(l.ref(), this.board.now() - l.goneMillis())).toList();
+		return this.board.lostEntries()
+			.stream()
+			.map((l) -> new EntryLoss(l.ref(), this.board.now() - l.goneMillis()))
+			.toList();
 	}
 
 	private void replace(PeerRecord p, EntryInfo e) {
@@ -206,8 +209,8 @@
 	}
 
 	/**
-	 * Tell whether no resubmission can have passed this entry by unseen. The bound is shorter
-	 * than the silence after which a peer stops asking this entry.
+	 * Tell whether no resubmission can have passed this entry by unseen. The bound is
+	 * shorter than the silence after which a peer stops asking this entry.
 	 * @param since the arrival of the job in question
 	 * @return {@code true} if every peer has echoed a stamp just now and none has ended
 	 */
@@ -220,7 +223,9 @@
 		return p.gone() || p.info() == null || (answers(p) && this.board.now() - p.confirmedMillis() < bound);
 	}
 
-	/** Note on every job which peers may have made a higher claim unseen, and since when. */
+	/**
+	 * Note on every job which peers may have made a higher claim unseen, and since when.
+	 */
 	void contestJobs() {
 		for (PeerRecord p : this.board.peers().values()) {
 			if (!inTouch(p)) {
--- a/core/src/main/java/org/baobabspar/message/JobStanding.java
+++ b/core/src/main/java/org/baobabspar/message/JobStanding.java
@@ -14,6 +14,9 @@
 	/** Not started here; the asker's higher claim wins and gets this entry's callers. */
 	YIELDED,
 
+	/** As {@link #YIELDED}, and the outcome of an earlier attempt here is not known. */
+	YIELDED_IN_DOUBT,
+
 	/** Held here once, with an outcome that is not known. */
 	IN_DOUBT,
 
--- a/core/src/main/java/org/baobabspar/message/PeerWelcome.java
+++ b/core/src/main/java/org/baobabspar/message/PeerWelcome.java
@@ -13,6 +13,5 @@
  * @param losses entries that have ended within the window
  */
 public record PeerWelcome(EntryInfo entry, long echoMillis, long knownSinceMillis, List<EntryInfo> peers,
-		List<AgentNotice> agents,
-		List<EntryLoss> losses) implements Message {
+		List<AgentNotice> agents, List<EntryLoss> losses) implements Message {
 }
