--- a/daemon/src/main/java/org/baobabspar/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/AgentDaemon.java
@@ -1,5 +1,6 @@
 package org.baobabspar.daemon;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,6 +14,7 @@
 import org.baobabspar.agent.LedgerTask;
 import org.baobabspar.message.AgentInfo;
 import org.baobabspar.message.Message;
+import org.baobabspar.wire.FrameMeter;
 import org.baobabspar.wire.LinkHandler;
 import org.baobabspar.wire.Links;
 import reactor.core.publisher.Mono;
@@ -128,6 +130,10 @@
 		});
 	}
 
+	public FrameMeter frames() {
+		return this.links.meter();
+	}
+
 	public int httpPort() {
 		return this.http.port();
 	}
@@ -150,7 +156,7 @@
 		this.http.disposeNow();
 		this.links.close();
 		this.control.close();
-		this.loops.disposeLater().onErrorResume((ex) -> Mono.empty()).block();
+		this.loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).onErrorResume((ex) -> Mono.empty()).block();
 	}
 
 	/** Takes the events of links. */
--- a/daemon/src/main/java/org/baobabspar/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/EntryDaemon.java
@@ -1,5 +1,6 @@
 package org.baobabspar.daemon;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicReference;
@@ -15,6 +16,7 @@
 import org.baobabspar.message.Message;
 import org.baobabspar.model.CodeFamily;
 import org.baobabspar.model.JobAnswer;
+import org.baobabspar.wire.FrameMeter;
 import org.baobabspar.wire.LinkHandler;
 import org.baobabspar.wire.Links;
 import reactor.core.publisher.Mono;
@@ -119,6 +121,10 @@
 		this.remaining.set(this.core.liveJobs() + " jobs");
 	}
 
+	public FrameMeter frames() {
+		return this.links.meter();
+	}
+
 	public int httpPort() {
 		return this.http.port();
 	}
@@ -155,7 +161,7 @@
 		}
 		this.links.close();
 		this.control.close();
-		this.loops.disposeLater().onErrorResume((ex) -> Mono.empty()).block();
+		this.loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).onErrorResume((ex) -> Mono.empty()).block();
 	}
 
 	/** Takes the events of links. */
--- a/wire/src/main/java/org/baobabspar/wire/Links.java
+++ b/wire/src/main/java/org/baobabspar/wire/Links.java
@@ -1,5 +1,6 @@
 package org.baobabspar.wire;
 
+import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Map;
@@ -177,6 +178,14 @@
 		Mono.delay(Duration.ofMillis(retryMillis)).subscribe((t) -> open(address, next));
 	}
 
+	/**
+	 * Read a link to its end. The reading is not tied to the connection's own
+	 * subscription, which ends with the connection and would drop the frames that came
+	 * just before.
+	 * @param link the link
+	 * @param in its incoming side
+	 * @return never ends, so that the connection stays open until one side closes it
+	 */
 	private Publisher<Void> serve(String link, NettyInbound in) {
 		in.withConnection((c) -> this.channels.put(link, c.channel()));
 		Mono<Void> up = Mono.<Void>fromRunnable(() -> this.handler.up(link)).subscribeOn(this.control);
@@ -187,7 +196,8 @@
 			.then()
 			.onErrorResume((ex) -> broken(link, ex));
 		Mono<Void> down = Mono.<Void>fromRunnable(() -> gone(link)).subscribeOn(this.control);
-		return up.then(read).then(down);
+		up.then(read).then(down).subscribe();
+		return Mono.never();
 	}
 
 	private void take(String link, byte[] frame) {
@@ -204,7 +214,7 @@
 			LOG.warn("links: closed {} with code {}: {}.", link, ResultCode.FRAME_TOO_LARGE.number(),
 					ResultCode.FRAME_TOO_LARGE.message());
 		}
-		else if (!(ex instanceof java.io.IOException)) {
+		else if (!(ex instanceof IOException)) {
 			LOG.error("links: closed {} after an internal fault.", link, ex);
 		}
 		return Mono.empty();
@@ -223,7 +233,7 @@
 	 */
 	public void send(String link, Message m) {
 		Channel c = this.channels.get(link);
-		if (c == null) {
+		if (c == null || !c.isActive()) {
 			return;
 		}
 		if (!c.isWritable()) {
