A party's use is counted by urgency; the ideal obeys classes; traces have their load exactly

Cause of the largest loss at 80% load: a party above its share of slots through lent, less urgent work had its urgent work held back behind all work of the other.

--- a/bench/src/main/java/org/baobabspar/bench/BenchMain.java
+++ b/bench/src/main/java/org/baobabspar/bench/BenchMain.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 
 import org.baobabspar.daemon.Json;
 import org.baobabspar.daemon.Setting;
@@ -69,6 +71,14 @@
 		}
 	}
 
+	private static int rank(TraceJob j) {
+		return switch (j.taskClass()) {
+			case "urgent", "ticket" -> 0;
+			case "normal" -> 1;
+			default -> 2;
+		};
+	}
+
 	private static double[] slowness(int agents, double spread) {
 		double[] r = new double[agents];
 		for (int i = 0; i < agents; i++) {
@@ -104,8 +114,9 @@
 			Map<String, Object> r) {
 		long millis = settings.number("seconds") * 1000;
 		double load = Double.parseDouble(settings.text("load"));
-		Trace t = both(settings.number("seed"), load * capacity, millis);
-		double[] ideal = Ideal.replay(t, slowness, Fleet.SLOTS);
+		Trace t = both(settings.number("seed"), load * capacity, millis).atLoad(load * capacity);
+		double[] ideal = Ideal.replay(t, slowness, Fleet.SLOTS, BenchMain::rank);
+		double[] classless = Ideal.replay(t, slowness, Fleet.SLOTS, (j) -> 0);
 		boolean storm = s == Scenario.RESUBMIT_STORM;
 		try (Fleet f = new Fleet(settings.integer("entries"), slowness, settings.text("policy"));
 				Driver d = new Driver(f.httpPorts(), "s" + settings.number("seed"), storm ? 300 : 10_000, 6)) {
@@ -115,6 +126,12 @@
 			List<Outcome> o = d.run(t, DRAIN_MILLIS);
 			r.put("load", load);
 			responses(o, ideal, r);
+			List<Double> plain = o.stream()
+				.filter(Outcome::complete)
+				.map((x) -> x.responseMillis() / classless[x.job().id()])
+				.toList();
+			r.put("over_classless_ideal_p50", round(percentile(plain, 0.5)));
+			r.put("over_classless_ideal_p99", round(percentile(plain, 0.99)));
 			messages(f, before, tasks(o), r);
 			truth(f, o, t, r);
 		}
@@ -163,7 +180,7 @@
 			try (Driver d = new Driver(f.httpPorts(), "f" + seed, 0, 1)) {
 				flooded = d.run(all, DRAIN_MILLIS);
 			}
-			double[] ideal = Ideal.replay(other, slowness, Fleet.SLOTS);
+			double[] ideal = Ideal.replay(other, slowness, Fleet.SLOTS, BenchMain::rank);
 			responses(quiet, ideal, r);
 			messages(f, before, tasks(flooded), r);
 			truth(f, flooded, all, r);
@@ -195,10 +212,23 @@
 		r.put("p99_over_ideal_p99", round(percentile(system, 0.99) / percentile(best, 0.99)));
 		r.put("response_p50_millis", round(percentile(system, 0.5)));
 		r.put("response_p99_millis", round(percentile(system, 0.99)));
+		r.put("ratio_p50_p99_by_class", byClass(outcomes, ideal));
 		r.put("jobs", outcomes.size());
 		r.put("complete", ratios.size());
 	}
 
+	private static Map<String, List<Double>> byClass(List<Outcome> outcomes, double[] ideal) {
+		Map<String, List<Double>> r = new TreeMap<>();
+		for (String c : Set.copyOf(CLASSES)) {
+			List<Double> ratios = outcomes.stream()
+				.filter((o) -> o.complete() && o.job().taskClass().equals(c))
+				.map((o) -> o.responseMillis() / ideal[o.job().id()])
+				.toList();
+			r.put(c, List.of(round(percentile(ratios, 0.5)), round(percentile(ratios, 0.99))));
+		}
+		return r;
+	}
+
 	private static long tasks(List<Outcome> outcomes) {
 		return outcomes.stream().filter(Outcome::complete).mapToLong((o) -> o.job().workMillis().size()).sum();
 	}
--- a/bench/src/main/java/org/baobabspar/bench/Trace.java
+++ b/bench/src/main/java/org/baobabspar/bench/Trace.java
@@ -86,6 +86,26 @@
 		return (int) (MIN_WORK_MILLIS * Math.pow(MAX_WORK_MILLIS / MIN_WORK_MILLIS, r.nextDouble()));
 	}
 
+	/**
+	 * Stretch or shrink the gaps so that the offered work is what was asked for, whatever
+	 * the sizes that were drawn.
+	 * @param workPerMilli offered work, in work milliseconds a millisecond
+	 * @return the same jobs at other times
+	 */
+	public Trace atLoad(double workPerMilli) {
+		long work = 0;
+		long last = 1;
+		for (TraceJob j : this.jobs) {
+			work += j.workMillis().stream().mapToInt(Integer::intValue).sum();
+			last = Math.max(last, j.arrivalMillis());
+		}
+		double factor = work / workPerMilli / last;
+		return new Trace(this.jobs.stream()
+			.map((j) -> new TraceJob(j.id(), Math.round(j.arrivalMillis() * factor), j.party(), j.taskClass(),
+					j.workMillis(), j.declaredMillis()))
+			.toList());
+	}
+
 	/**
 	 * Merge two traces.
 	 * @param other the other trace
--- a/core/src/main/java/org/baobabspar/agent/AgentCore.java
+++ b/core/src/main/java/org/baobabspar/agent/AgentCore.java
@@ -81,6 +81,8 @@
 
 	private int failuresInRow;
 
+	private long usageReportMillis;
+
 	private long wallMillis;
 
 	private boolean goodbyeSent;
@@ -424,9 +426,11 @@
 		}
 		List<EntryLink> reporters = reporters();
 		for (EntryLink l : this.links.values()) {
-			boolean reports = reporters.contains(l) && now - l.usageMillis() >= USAGE_REPORT_MILLIS;
+			boolean reports = reporters.contains(l) && now - l.usageMillis() >= USAGE_REPORT_MILLIS * reporters.size()
+					&& now - this.usageReportMillis >= USAGE_REPORT_MILLIS;
 			List<UsageRecord> usage = reports ? this.meter.changedSince(l.usageSequence()) : List.of();
 			if (!usage.isEmpty() || now - l.sentMillis() >= this.settings.heartbeatMillis()) {
+				this.usageReportMillis = usage.isEmpty() ? this.usageReportMillis : now;
 				heartbeat(now, l, usage);
 			}
 		}
--- a/core/src/main/java/org/baobabspar/document/DocumentFormat.java
+++ b/core/src/main/java/org/baobabspar/document/DocumentFormat.java
@@ -138,7 +138,7 @@
 			String at = "classes[" + i + "].";
 			require(faults, named(c.name()), at + "name: a name is needed");
 			require(faults, names.add(c.name()), at + "name: '" + c.name() + "' stands twice");
-			requireRange(faults, at + "urgency", c.urgency(), 0, MAX_CLASSES);
+			requireRange(faults, at + "urgency", c.urgency(), 0, TaskClass.MAX_URGENCY);
 			requireRange(faults, at + "queueBoundMillis", c.queueBoundMillis(), 1, MAX_QUEUE_BOUND_MILLIS);
 			requireFraction(faults, at + "floor", c.floor());
 			floors += c.floor();
--- a/core/src/main/java/org/baobabspar/document/TaskClass.java
+++ b/core/src/main/java/org/baobabspar/document/TaskClass.java
@@ -11,4 +11,8 @@
  * @param floor fraction of starts that the class keeps while more urgent work waits
  */
 public record TaskClass(String name, int urgency, long queueBoundMillis, boolean idempotent, double floor) {
+
+	/** The least urgent rank. */
+	public static final int MAX_URGENCY = 31;
+
 }
--- a/core/src/main/java/org/baobabspar/entry/EntrySettings.java
+++ b/core/src/main/java/org/baobabspar/entry/EntrySettings.java
@@ -38,7 +38,7 @@
 	 * @return the settings
 	 */
 	public static EntrySettings defaults() {
-		return new EntrySettings(300_000, 3_000, 500, 1_500, 5_000, 2_000, 1_000, 1_000, 1_000, 2_000, 200_000, 2_000,
+		return new EntrySettings(300_000, 3_000, 1_000, 2_200, 5_000, 2_500, 1_000, 1_000, 1_000, 2_000, 200_000, 2_000,
 				PlacingPolicy.EXPECTED_FINISH);
 	}
 
--- a/core/src/main/java/org/baobabspar/entry/FairQueue.java
+++ b/core/src/main/java/org/baobabspar/entry/FairQueue.java
@@ -16,8 +16,10 @@
  * Orders the jobs that wait at an entry. A party below its agreed share of the slots
  * comes before one above it, so that a flood of one party's most urgent work cannot take
  * the other's share; between parties on the same side of their share the more urgent
- * class comes first, then the party that uses least of its share. Slots that a party
- * leaves unused are thereby lent, and return within one task's length.
+ * class comes first, then the party that uses least of its share. What a party uses is
+ * counted for the class at hand and more urgent ones only: its less urgent work, which
+ * may have been lent slots, does not hold back its urgent work. Slots that a party leaves
+ * unused are thereby lent, and return within one task's length.
  * <p>
  * A class with a floor earns a fraction of each start while more urgent work is preferred
  * to it, and once it has earned a whole start it goes first.
@@ -102,7 +104,7 @@
 		for (PartyQueue p : this.parties.values()) {
 			JobRecord j = p.head(onlyClass);
 			if (j != null) {
-				double use = shares.useOfShare(p.party);
+				double use = shares.useOfShare(p.party, j.taskClass().urgency());
 				if (best == null || before(j, use, best, bestUse)) {
 					best = j;
 					bestUse = use;
@@ -183,9 +185,10 @@
 		/**
 		 * Return the slots used over the slots agreed.
 		 * @param party the party
+		 * @param urgency count the classes of this urgency and more urgent ones only
 		 * @return 1 or more for a party at or above its share
 		 */
-		double useOfShare(String party);
+		double useOfShare(String party, int urgency);
 
 	}
 
--- a/core/src/main/java/org/baobabspar/entry/PlacementController.java
+++ b/core/src/main/java/org/baobabspar/entry/PlacementController.java
@@ -32,7 +32,7 @@
 
 	private final MembershipController membership;
 
-	private final Map<String, Integer> inFlight = new HashMap<>();
+	private final Map<String, int[]> inFlight = new HashMap<>();
 
 	private boolean dirty;
 
@@ -81,7 +81,7 @@
 	void drop(Placement p) {
 		this.board.agent(p.agentRef()).ifPresent((a) -> {
 			if (a.placements().remove(key(p.job().id(), p.index()), p)) {
-				this.inFlight.merge(p.job().party(), -1, Integer::sum);
+				count(p.job(), -1);
 			}
 		});
 	}
@@ -90,10 +90,17 @@
 		return jobId + "#" + index;
 	}
 
+	private void count(JobRecord j, int change) {
+		int[] byUrgency = this.inFlight.computeIfAbsent(j.party(), (p) -> new int[TaskClass.MAX_URGENCY + 1]);
+		for (int u = j.taskClass().urgency(); u < byUrgency.length; u++) {
+			byUrgency[u] += change;
+		}
+	}
+
 	private void put(AgentRecord a, Placement p) {
 		Placement old = a.placements().put(key(p.job().id(), p.index()), p);
 		if (old == null) {
-			this.inFlight.merge(p.job().party(), 1, Integer::sum);
+			count(p.job(), 1);
 		}
 		p.job().place(p);
 	}
@@ -139,13 +146,15 @@
 	/**
 	 * Tell how much of its agreed share a party uses.
 	 * @param party the party
+	 * @param urgency count the classes of this urgency and more urgent ones only
 	 * @param slots the slots that this entry may use
 	 * @return slots used over slots agreed
 	 */
-	private double useOfShare(String party, int slots) {
+	private double useOfShare(String party, int urgency, int slots) {
 		double share = this.board.production().flatMap((v) -> v.document().party(party)).map(Party::share).orElse(0.0);
 		double agreed = Math.max(1e-6, share * slots);
-		return this.inFlight.getOrDefault(party, 0) / agreed;
+		int[] used = this.inFlight.get(party);
+		return (used != null) ? used[urgency] / agreed : 0;
 	}
 
 	/** Place what can be placed, if anything has changed since the last pass. */
@@ -163,7 +172,7 @@
 		List<JobRecord> aside = new ArrayList<>();
 		int lookahead = LOOKAHEAD;
 		while (lookahead > 0 && v.freeCredits() > 0) {
-			Optional<JobRecord> next = this.board.queue().poll((p) -> useOfShare(p, slots));
+			Optional<JobRecord> next = this.board.queue().poll((p, u) -> useOfShare(p, u, slots));
 			if (next.isEmpty()) {
 				break;
 			}
--- a/core/src/main/java/org/baobabspar/entry/PlacingPolicy.java
+++ b/core/src/main/java/org/baobabspar/entry/PlacingPolicy.java
@@ -22,7 +22,7 @@
 			boolean free = false;
 			for (AgentRecord a : v.agents()) {
 				boolean hasCredit = v.freeCredits(a) > 0;
-				double finish = v.serviceMillis(a) + (hasCredit ? 0 : v.waitMillis(a));
+				double finish = v.serviceMillis(a) + (hasCredit ? 0 : HOLD * v.waitMillis(a));
 				if (finish < bestMillis) {
 					best = a;
 					bestMillis = finish;
@@ -94,6 +94,8 @@
 
 	};
 
+	static final double HOLD = Double.parseDouble(System.getProperty("hold", "1"));
+
 	/**
 	 * Choose an agent for the next task.
 	 * @param v what is known of the agents
