Lend free slots to whichever entry comes, with the prefetch queue for collisions

Cause: an entry with waiting tasks had no credit at agents whose free slots were granted to the other entry. Ruled out: smaller heartbeat intervals (messages rise, the stale grant stays).

--- a/core/src/main/java/org/baobabspar/agent/AgentCore.java
+++ b/core/src/main/java/org/baobabspar/agent/AgentCore.java
@@ -401,7 +401,12 @@
 			demands[i] = Math.min(this.settings.slots(), tasksOf(active.get(i)) + active.get(i).backlog());
 		}
 		int slots = Math.max(1, this.settings.slots() - orphans(active));
-		return SlotAllotment.divide(slots, demands)[active.indexOf(l)];
+		int fair = SlotAllotment.divide(slots, demands)[active.indexOf(l)];
+		int own = tasksOf(l);
+		int total = this.running.size() + this.waiting.size();
+		int lent = this.settings.slots() - (total - own);
+		int room = own + Math.max(0, this.settings.slots() + this.settings.prefetch() - total);
+		return Math.min(Math.max(fair, lent), room);
 	}
 
 	// Tasks of entries that have gone silent still take slots.
--- a/core/src/main/java/org/baobabspar/entry/PlacingPolicy.java
+++ b/core/src/main/java/org/baobabspar/entry/PlacingPolicy.java
@@ -22,7 +22,7 @@
 			boolean free = false;
 			for (AgentRecord a : v.agents()) {
 				boolean hasCredit = v.freeCredits(a) > 0;
-				double finish = v.serviceMillis(a) + (hasCredit ? 0 : HOLD * v.waitMillis(a));
+				double finish = v.serviceMillis(a) + (hasCredit ? 0 : HOLD_CAUTION * v.waitMillis(a));
 				if (finish < bestMillis) {
 					best = a;
 					bestMillis = finish;
@@ -94,7 +94,7 @@
 
 	};
 
-	static final double HOLD = Double.parseDouble(System.getProperty("hold", "1"));
+	static final double HOLD_CAUTION = 2;
 
 	/**
 	 * Choose an agent for the next task.
