--- a/core/src/main/java/org/baobabspar/agent/AgentCore.java
+++ b/core/src/main/java/org/baobabspar/agent/AgentCore.java
@@ -55,7 +55,7 @@
  */
 public final class AgentCore {
 
-	private static final long USAGE_REPORT_MILLIS = 1_000;
+	private static final long USAGE_REPORT_MILLIS = 2_000;
 
 	private final AgentInfo info;
 
--- a/core/src/main/java/org/baobabspar/agent/AgentSettings.java
+++ b/core/src/main/java/org/baobabspar/agent/AgentSettings.java
@@ -33,7 +33,7 @@
 	 * @return the settings
 	 */
 	public static AgentSettings defaults(int slots) {
-		return new AgentSettings(slots, 2, 300_000, 3_000, 1_000, 3_000, 200_000, 16L << 20);
+		return new AgentSettings(slots, 3, 300_000, 3_000, 1_000, 3_000, 200_000, 16L << 20);
 	}
 
 }
--- a/daemon/src/main/java/org/baobabspar/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/AgentDaemon.java
@@ -37,7 +37,7 @@
 			Setting.text("entries", null, "addresses of entries to start from, host:port, separated by commas"),
 			Setting.text("endpoint", null, "address of the endpoint, host:port"),
 			Setting.number("slots", 8, 1, 1024, "tasks", "tasks that the endpoint runs at once"),
-			Setting.number("prefetch", 2, 0, 64, "tasks", "tasks held beyond the slots"),
+			Setting.number("prefetch", 3, 0, 64, "tasks", "tasks held beyond the slots"),
 			Setting.number("megabytes", 65_536, 1, 1 << 24, "MB", "memory of the endpoint"),
 			Setting.number("window-millis", 300_000, 20_000, 3_600_000, "ms", "resubmission window"),
 			Setting.number("task-timeout-millis", 60_000, 100, 3_600_000, "ms", "longest run time of a task"),
