--- a/bench/src/main/java/org/baobabspar/bench/BenchMain.java
+++ b/bench/src/main/java/org/baobabspar/bench/BenchMain.java
@@ -54,8 +54,12 @@
 		Optional<Scenario> s = Arrays.stream(Scenario.values())
 			.filter((x) -> !a.isEmpty() && x.title().equals(a.get(0)))
 			.findFirst();
+		if (!a.isEmpty() && a.get(0).equals("slopes")) {
+			new Slopes().run().forEach(System.out::println);
+			System.exit(0);
+		}
 		if (s.isEmpty() || a.contains("--help")) {
-			System.out.println("baobabspar-bench SCENARIO [flags]\nscenarios: "
+			System.out.println("baobabspar-bench SCENARIO [flags]\nbaobabspar-bench slopes\nscenarios: "
 					+ Arrays.stream(Scenario.values()).map(Scenario::title).toList() + "\n"
 					+ Settings.describe(SETTINGS));
 			System.exit(a.contains("--help") ? 0 : EXIT_USAGE);
--- a/bench/src/main/java/org/baobabspar/bench/Fleet.java
+++ b/bench/src/main/java/org/baobabspar/bench/Fleet.java
@@ -132,6 +132,7 @@
 
 	/**
 	 * Return the work that the endpoints can do.
+	 * @param slowness slowness of each endpoint
 	 * @return work milliseconds a millisecond
 	 */
 	static double capacity(double[] slowness) {
--- a/core/src/main/java/org/baobabspar/agent/SlotAllotment.java
+++ b/core/src/main/java/org/baobabspar/agent/SlotAllotment.java
@@ -10,7 +10,7 @@
  * other entries have heard of their smaller limits.
  * <p>
  * Example: 8 slots, demands {@code [20, 3, 0]} give limits {@code [5, 3, 1]}; demands
- * {@code [1, 0]} give {@code [5, 4]}.
+ * {@code [1, 0]} give {@code [5, 3]}.
  * <p>
  * Stateless and safe for any thread.
  */
--- a/core/src/test/java/org/baobabspar/entry/World.java
+++ b/core/src/test/java/org/baobabspar/entry/World.java
@@ -322,6 +322,9 @@
 		}
 
 		void restart() {
+			if (this.alive) {
+				crash();
+			}
 			World.this.log("restart " + this.name);
 			boot();
 		}
--- a/wire/src/main/java/org/baobabspar/wire/FrameCodec.java
+++ b/wire/src/main/java/org/baobabspar/wire/FrameCodec.java
@@ -13,6 +13,7 @@
 import org.baobabspar.message.MessageType;
 import org.baobabspar.model.CodedException;
 import org.baobabspar.model.ResultCode;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.jackson.dataformat.JsonArrayFormat;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -104,7 +105,7 @@
 			}
 			return m;
 		}
-		catch (IOException ex) {
+		catch (IOException | MessagePackException ex) {
 			throw new CodedException(ResultCode.FRAME_BODY, t + " is not readable", ex);
 		}
 	}
--- a/wire/src/main/java/org/baobabspar/wire/Links.java
+++ b/wire/src/main/java/org/baobabspar/wire/Links.java
@@ -196,7 +196,7 @@
 			.then()
 			.onErrorResume((ex) -> broken(link, ex));
 		Mono<Void> down = Mono.<Void>fromRunnable(() -> gone(link)).subscribeOn(this.control);
-		up.then(read).then(down).subscribe();
+		up.then(read).then(down).onErrorResume((ex) -> broken(link, ex)).subscribe();
 		return Mono.never();
 	}
 
@@ -207,6 +207,9 @@
 	}
 
 	private Mono<Void> broken(String link, Throwable ex) {
+		if (this.closed) {
+			return Mono.empty();
+		}
 		if (ex instanceof CodedException c) {
 			LOG.warn("links: closed {} with code {}: {}.", link, c.code().number(), c.getMessage());
 		}
