--- a/core/src/main/java/org/baobabspar/entry/JobController.java
+++ b/core/src/main/java/org/baobabspar/entry/JobController.java
@@ -1,5 +1,7 @@
 package org.baobabspar.entry;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -30,8 +32,14 @@
  */
 final class JobController {
 
+	private static final long MAX_ANSWER_BYTES = 16L << 20;
+
 	private final Blackboard board;
 
+	private final Deque<JobRecord> answers = new ArrayDeque<>();
+
+	private long answerBytes;
+
 	private final PlacementController placement;
 
 	private final PeerController peers;
@@ -55,6 +63,7 @@
 		Set<String> agents = agentsOf(j);
 		this.placement.dequeue(j);
 		j.end(a, this.board.now());
+		hold(j);
 		this.board.liveJobs().remove(j.id());
 		for (Waiter w : j.waiters()) {
 			this.board.out().answer(w.requestId(), provedFor(j, w, a));
@@ -351,7 +360,24 @@
 		}
 	}
 
+	// The oldest answers are dropped first; their jobs stay, so that nothing is run
+	// again.
+	private void hold(JobRecord j) {
+		if (j.resultBytes() > 0) {
+			this.answers.add(j);
+			this.answerBytes += j.resultBytes();
+		}
+		while (this.answerBytes > MAX_ANSWER_BYTES) {
+			JobRecord oldest = this.answers.poll();
+			this.answerBytes -= oldest.resultBytes();
+			oldest.dropResults();
+		}
+	}
+
 	private void expire(long now, EntrySettings s) {
+		while (!this.answers.isEmpty() && now - this.answers.peek().endedMillis() > s.windowMillis()) {
+			this.answerBytes -= this.answers.poll().resultBytes();
+		}
 		this.board.jobs()
 			.values()
 			.removeIf((j) -> j.state() == JobState.ENDED && now - j.endedMillis() > s.windowMillis());
--- a/core/src/main/java/org/baobabspar/entry/JobRecord.java
+++ b/core/src/main/java/org/baobabspar/entry/JobRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
@@ -28,7 +29,7 @@
  */
 final class JobRecord {
 
-	private final JobSpec spec;
+	private JobSpec spec;
 
 	private final String id;
 
@@ -428,12 +429,30 @@
 	void end(JobAnswer a, long now) {
 		this.answer = a;
 		this.endedMillis = now;
+		this.spec = this.spec.emptied();
 		this.state = JobState.ENDED;
 		this.waiting.clear();
 		this.pendingReplies.clear();
 		this.placements.clear();
 	}
 
+	/**
+	 * Drop the results of an ended job to save memory. A resubmission then asks the
+	 * agents, which keep them too.
+	 */
+	void dropResults() {
+		this.answer = JobAnswer.failed(this.id, ResultCode.OUTCOME_UNKNOWN, "the answer is no longer held here");
+		Arrays.fill(this.results, null);
+	}
+
+	int resultBytes() {
+		int n = 0;
+		for (byte[] r : this.answer.results()) {
+			n += r.length;
+		}
+		return n;
+	}
+
 	JobAnswer answer() {
 		return this.answer;
 	}
--- a/core/src/main/java/org/baobabspar/model/JobSpec.java
+++ b/core/src/main/java/org/baobabspar/model/JobSpec.java
@@ -1,5 +1,6 @@
 package org.baobabspar.model;
 
+import java.util.Collections;
 import java.util.List;
 
 import org.baobabspar.misc.Hashes;
@@ -31,6 +32,8 @@
 	/** Longest deadline, in milliseconds. */
 	public static final long MAX_DEADLINE_MILLIS = 600_000;
 
+	private static final TaskSpec EMPTY_TASK = new TaskSpec(new byte[0], 0, 0);
+
 	private static final int MAX_ATTEMPT = 1_000_000;
 
 	private static final long MAX_AGE_MILLIS = 7L * 24 * 3600 * 1000;
@@ -68,6 +71,15 @@
 		return h;
 	}
 
+	/**
+	 * Return the same job without what its tasks carry, for a job that has ended.
+	 * @return a job of as many empty tasks
+	 */
+	public JobSpec emptied() {
+		return new JobSpec(this.party, this.taskClass, this.key, this.attempt, this.ageMillis, this.deadlineMillis,
+				this.stage, Collections.nCopies(this.tasks.size(), EMPTY_TASK));
+	}
+
 	/**
 	 * Tell whether the caller declares that nobody was asked to run the job before.
 	 * @return {@code true} for a declared first attempt
--- a/core/src/test/java/org/baobabspar/entry/FaultTableTests.java
+++ b/core/src/test/java/org/baobabspar/entry/FaultTableTests.java
@@ -297,6 +297,30 @@
 
 	}
 
+	/** Answers that an entry no longer has room for. */
+	public static class Memory {
+
+		@Test
+		void droppedAnswerIsFoundAgainAtTheAgents() {
+			World w = fleet(1);
+			w.submit("e1", "first", "plain", 2);
+			w.settle();
+			w.finishAll();
+			w.largeResults = true;
+			for (int i = 0; i < 20; i++) {
+				w.submit("e1", "large-" + i, "plain", 1);
+				w.settle();
+				w.finishAll();
+			}
+			w.largeResults = false;
+			World.Request again = w.submit("e1", "first", "plain", 2);
+			w.run(500);
+			Assert.assertEquals(again.code(), ResultCode.COMPLETE);
+			Assert.assertEquals(w.startsOf("first"), 2);
+		}
+
+	}
+
 	/** What leaving processes may and may not do. */
 	public static class Leaving {
 
--- a/daemon/src/main/java/org/baobabspar/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/EntryDaemon.java
@@ -89,7 +89,7 @@
 		this.metrics = new EntryMetrics(this.links.meter());
 		this.core = new EntryCore(this.control.now(), this.self, entrySettings(s), new Outbox(), Incarnation.seed());
 		this.api = new CallerApi(this.control, this.core, this.metrics);
-		LogClient log = new LogClient(s.text("log"));
+		LogClient log = new LogClient(s.text("log"), this.loops);
 		this.watcher = new EnvironmentWatcher(log, this.control, s.text("environment"),
 				(v) -> this.core.promoted(this.control.now(), v), (v) -> this.core.published(this.control.now(), v));
 		this.usage = new UsageWriter(log, this.control, this.core.usage(), this.self.ref());
--- a/daemon/src/main/java/org/baobabspar/daemon/LogClient.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/LogClient.java
@@ -9,6 +9,7 @@
 import org.baobabspar.model.ResultCode;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.LoopResources;
 
 /**
  * Client of the platform's append-only log. Every call ends within its bound with a value
@@ -28,7 +29,20 @@
 	 * @param address address of the log as {@code host:port}
 	 */
 	public LogClient(String address) {
-		this.http = HttpClient.create().baseUrl("http://" + address).disableRetry(true);
+		this(address, HttpClient.create());
+	}
+
+	/**
+	 * Create a client on event loops of its owner.
+	 * @param address address of the log as {@code host:port}
+	 * @param loops the event loops
+	 */
+	public LogClient(String address, LoopResources loops) {
+		this(address, HttpClient.create().runOn(loops));
+	}
+
+	private LogClient(String address, HttpClient client) {
+		this.http = client.baseUrl("http://" + address).disableRetry(true);
 	}
 
 	/**
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -45,7 +45,6 @@
 }
 
 echo "== start a log, two entries and four agents with endpoints in three failure domains"
-export BAOBABSPAR_JIT_LEVEL=1
 start log bin/baobabspar-standin log --port 17000
 start entry-1 bin/baobabspar entry --id entry-1 --failure-domain ahmedabad --http-port 17081 --link-port 17071 \
 	--peers 127.0.0.1:17072 --log 127.0.0.1:17000 --usage-millis 500
