--- a/bench/src/main/java/org/baobabspar/bench/BenchMain.java
+++ b/bench/src/main/java/org/baobabspar/bench/BenchMain.java
@@ -58,8 +58,12 @@
 			new Slopes().run().forEach(System.out::println);
 			System.exit(0);
 		}
+		if (!a.isEmpty() && a.get(0).equals("log-claim")) {
+			LogClaim.run().forEach(System.out::println);
+			System.exit(0);
+		}
 		if (s.isEmpty() || a.contains("--help")) {
-			System.out.println("baobabspar-bench SCENARIO [flags]\nbaobabspar-bench slopes\nscenarios: "
+			System.out.println("baobabspar-bench SCENARIO [flags]\nbaobabspar-bench slopes|log-claim\nscenarios: "
 					+ Arrays.stream(Scenario.values()).map(Scenario::title).toList() + "\n"
 					+ Settings.describe(SETTINGS));
 			System.exit(a.contains("--help") ? 0 : EXIT_USAGE);
--- a/bench/src/main/java/org/baobabspar/bench/Fleet.java
+++ b/bench/src/main/java/org/baobabspar/bench/Fleet.java
@@ -146,6 +146,10 @@
 		return c;
 	}
 
+	int logPort() {
+		return this.logPort;
+	}
+
 	List<Integer> httpPorts() {
 		return this.entries.stream().map(EntryDaemon::httpPort).toList();
 	}
