--- a/core/src/main/java/org/baobabspar/agent/AgentCore.java
+++ b/core/src/main/java/org/baobabspar/agent/AgentCore.java
@@ -3,11 +3,9 @@
 import java.time.Instant;
 import java.time.YearMonth;
 import java.time.ZoneOffset;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -71,9 +69,7 @@
 
 	private final Map<String, EntryInfo> knownEntries = new LinkedHashMap<>();
 
-	private final Deque<LedgerTask> waiting = new ArrayDeque<>();
-
-	private final Map<String, LedgerTask> running = new LinkedHashMap<>();
+	private final SlotTable slots;
 
 	private DocumentNotice document;
 
@@ -98,6 +94,7 @@
 		this.settings = settings;
 		this.out = out;
 		this.ledger = new StartLedger(settings);
+		this.slots = new SlotTable(settings.slots(), settings.prefetch());
 		this.meter = new UsageMeter(info.ref());
 	}
 
@@ -217,7 +214,7 @@
 		j.adoptBody(d.bodyHash());
 		LedgerTask t = new LedgerTask(d, l.entryRef());
 		this.ledger.enter(j, t);
-		this.waiting.add(t);
+		this.slots.add(t);
 		startWaiting(now);
 	}
 
@@ -246,30 +243,27 @@
 		if (known.filter((j) -> j.everStarted() && j.bodyHash() != d.bodyHash()).isPresent()) {
 			return Optional.of(ResultCode.KEY_REUSED);
 		}
-		if (this.running.size() + this.waiting.size() >= this.settings.slots() + this.settings.prefetch()) {
+		if (this.slots.room() == 0) {
 			return Optional.of(ResultCode.GATE_FULL);
 		}
 		return Optional.empty();
 	}
 
 	private void refuse(long now, EntryLink l, Dispatch d, ResultCode code) {
-		int limit = (code == ResultCode.GATE_FULL) ? Math.min(tasksOf(l), limit(now, l)) : limit(now, l);
+		int limit = (code == ResultCode.GATE_FULL) ? Math.min(this.slots.tasksOf(l), limit(now, l)) : limit(now, l);
 		l.sent(now, limit);
 		this.out.send(l.link(), new TaskRefused(d.jobId(), d.index(), d.dispatchId(), code.number(), now, limit));
 	}
 
 	private void startWaiting(long now) {
-		while (!this.waiting.isEmpty() && this.running.size() < this.settings.slots()) {
-			LedgerTask t = this.waiting.poll();
-			this.running.put(runningKey(t.jobId(), t.index()), t);
+		Optional<LedgerTask> next = this.slots.takeSlot();
+		while (next.isPresent()) {
+			LedgerTask t = next.get();
 			this.out.start(t, t.start(now));
+			next = this.slots.takeSlot();
 		}
 	}
 
-	private static String runningKey(String jobId, int index) {
-		return jobId + "#" + index;
-	}
-
 	private void fence(EntryLink l, long now, Fence f) {
 		LedgerJob j = this.ledger.open(now, f.jobId(), f.claim(), l.entryRef(), f.bodyHash());
 		boolean bodyDiffers = j.everStarted() && j.bodyHash() != f.bodyHash();
@@ -287,9 +281,7 @@
 		if (j.claim().compareTo(claim) >= 0) {
 			return;
 		}
-		List<LedgerTask> stopped = this.waiting.stream().filter((t) -> t.jobId().equals(j.jobId())).toList();
-		this.waiting.removeAll(stopped);
-		for (LedgerTask t : stopped) {
+		for (LedgerTask t : this.slots.withdraw(j.jobId())) {
 			this.ledger.withdraw(j, t);
 			linkOf(t.ownerRef()).ifPresent((l) -> tellRefused(now, l, t, ResultCode.GATE_FENCED));
 		}
@@ -326,10 +318,11 @@
 	 * @param result the endpoint's answer
 	 */
 	public void ended(long now, String jobId, int index, ResultCode code, byte[] result) {
-		LedgerTask t = this.running.remove(runningKey(jobId, index));
-		if (t == null) {
+		Optional<LedgerTask> ended = this.slots.freeSlot(jobId, index);
+		if (ended.isEmpty()) {
 			return;
 		}
+		LedgerTask t = ended.get();
 		boolean success = code == ResultCode.COMPLETE;
 		this.failuresInRow = success ? 0 : this.failuresInRow + 1;
 		this.meter.end(t.usageKey(month()), t.meter(now), success);
@@ -348,14 +341,14 @@
 	 * @param index the task
 	 */
 	public void unreached(long now, String jobId, int index) {
-		LedgerTask t = this.running.remove(runningKey(jobId, index));
-		Optional<LedgerJob> job = this.ledger.find(jobId);
-		if (t == null || job.isEmpty()) {
+		Optional<LedgerTask> t = this.slots.freeSlot(jobId, index);
+		Optional<LedgerJob> j = this.ledger.find(jobId);
+		if (t.isEmpty() || j.isEmpty()) {
 			return;
 		}
-		this.ledger.withdraw(job.get(), t);
+		this.ledger.withdraw(j.get(), t.get());
 		health(now, false);
-		owners(job.get(), t).forEach((l) -> tellRefused(now, l, t, ResultCode.GATE_ENDPOINT_DOWN));
+		owners(j.get(), t.get()).forEach((l) -> tellRefused(now, l, t.get(), ResultCode.GATE_ENDPOINT_DOWN));
 	}
 
 	private void tellEnded(long now, EntryLink l, LedgerTask t, long dispatchId) {
@@ -365,7 +358,7 @@
 	}
 
 	private void wakeStarved(long now) {
-		if (this.running.size() >= this.settings.slots()) {
+		if (!this.slots.slotFree()) {
 			return;
 		}
 		for (EntryLink l : this.links.values()) {
@@ -375,17 +368,6 @@
 		}
 	}
 
-	private int tasksOf(EntryLink l) {
-		int n = 0;
-		for (LedgerTask t : this.running.values()) {
-			n += t.ownerRef().equals(l.entryRef()) ? 1 : 0;
-		}
-		for (LedgerTask t : this.waiting) {
-			n += t.ownerRef().equals(l.entryRef()) ? 1 : 0;
-		}
-		return n;
-	}
-
 	private int limit(long now, EntryLink l) {
 		if (!this.state.takesWork()) {
 			return 0;
@@ -396,26 +378,7 @@
 				active.add(a);
 			}
 		}
-		int[] demands = new int[active.size()];
-		for (int i = 0; i < demands.length; i++) {
-			demands[i] = Math.min(this.settings.slots(), tasksOf(active.get(i)) + active.get(i).backlog());
-		}
-		int slots = Math.max(1, this.settings.slots() - orphans(active));
-		int fair = SlotAllotment.divide(slots, demands)[active.indexOf(l)];
-		int own = tasksOf(l);
-		int total = this.running.size() + this.waiting.size();
-		int lent = this.settings.slots() - (total - own);
-		int room = own + Math.max(0, this.settings.slots() + this.settings.prefetch() - total);
-		return Math.min(Math.max(fair, lent), room);
-	}
-
-	// Tasks of entries that have gone silent still take slots.
-	private int orphans(List<EntryLink> active) {
-		int owned = 0;
-		for (EntryLink l : active) {
-			owned += tasksOf(l);
-		}
-		return this.running.size() + this.waiting.size() - owned;
+		return this.slots.limit(l, active);
 	}
 
 	/**
@@ -426,7 +389,7 @@
 	public void tick(long now, long wallClockMillis) {
 		this.wallMillis = wallClockMillis;
 		this.ledger.expire(now);
-		for (LedgerTask t : this.running.values()) {
+		for (LedgerTask t : this.slots.runningTasks()) {
 			this.meter.run(t.usageKey(month()), t.meter(now));
 		}
 		List<EntryLink> reporters = reporters();
@@ -494,7 +457,7 @@
 	}
 
 	private void sayGoodbye(long now) {
-		boolean idle = this.running.isEmpty() && this.waiting.isEmpty();
+		boolean idle = this.slots.empty();
 		if (this.state != AgentState.DRAINING || !idle || this.goodbyeSent || !drainAcknowledged(now)) {
 			return;
 		}
@@ -530,11 +493,11 @@
 	}
 
 	public int runningTasks() {
-		return this.running.size();
+		return this.slots.running();
 	}
 
 	public int waitingTasks() {
-		return this.waiting.size();
+		return this.slots.waiting();
 	}
 
 	public int ledgerStarts() {
--- a/core/src/main/java/org/baobabspar/entry/Blackboard.java
+++ b/core/src/main/java/org/baobabspar/entry/Blackboard.java
@@ -57,8 +57,6 @@
 
 	private final UsageBook usage = new UsageBook();
 
-	private final long startedMillis;
-
 	private long now;
 
 	private long lastId;
@@ -81,7 +79,6 @@
 		this.out = out;
 		this.random = new SplittableRandom(seed);
 		this.now = now;
-		this.startedMillis = now;
 		this.knownSinceMillis = now;
 		this.quarantineUntilMillis = now + settings.quarantineMillis();
 	}
@@ -114,10 +111,6 @@
 		this.now = Math.max(this.now, time);
 	}
 
-	long startedMillis() {
-		return this.startedMillis;
-	}
-
 	/**
 	 * Return a number that was never returned before, larger than all earlier ones.
 	 * @return a number for a dispatch, a fence or an ask
--- a/core/src/main/java/org/baobabspar/entry/ClaimController.java
+++ b/core/src/main/java/org/baobabspar/entry/ClaimController.java
@@ -5,13 +5,11 @@
 
 import org.baobabspar.document.DocumentVersion;
 import org.baobabspar.document.TaskClass;
-import org.baobabspar.message.EntryInfo;
 import org.baobabspar.message.FenceReply;
 import org.baobabspar.message.JobAsk;
 import org.baobabspar.message.JobAskReply;
 import org.baobabspar.message.JobCancel;
 import org.baobabspar.message.JobEnded;
-import org.baobabspar.message.JobStanding;
 import org.baobabspar.model.Claim;
 import org.baobabspar.model.CodeFamily;
 import org.baobabspar.model.JobAnswer;
@@ -71,7 +69,7 @@
 	 */
 	void submit(long requestId, JobSpec spec) {
 		JobRecord known = this.board.jobs().get(spec.id());
-		if (known != null && !replaceable(known)) {
+		if (known != null && !known.replaceable()) {
 			join(requestId, spec, known);
 			return;
 		}
@@ -85,14 +83,6 @@
 		open(requestId, spec, known, fenced, first);
 	}
 
-	private static boolean replaceable(JobRecord j) {
-		if (j.state() != JobState.ENDED) {
-			return false;
-		}
-		CodeFamily f = j.answer().resultCode().family();
-		return f == CodeFamily.NOT_RUN || f == CodeFamily.UNKNOWN;
-	}
-
 	private void join(long requestId, JobSpec spec, JobRecord known) {
 		if (known.bodyHash() != spec.bodyHash()) {
 			this.board.out()
@@ -219,68 +209,6 @@
 		afterReply(j);
 	}
 
-	/**
-	 * Take another entry's question.
-	 * @param link the link it came on
-	 * @param from the other entry
-	 * @param m the question
-	 */
-	void asked(String link, EntryInfo from, JobAsk m) {
-		JobStanding s = standing(link, from, m);
-		this.board.send(link, new JobAskReply(m.askId(), m.jobId(), s));
-		JobRecord j = this.board.jobs().get(m.jobId());
-		if (s == JobStanding.HELD && j != null && j.state() == JobState.ENDED) {
-			this.board.send(link, new JobEnded(j.answer()));
-		}
-	}
-
-	private JobStanding standing(String link, EntryInfo from, JobAsk m) {
-		JobRecord j = this.board.jobs().get(m.jobId());
-		if (j == null) {
-			return promise(m);
-		}
-		if (j.state() == JobState.ATTACHED) {
-			j.unprove();
-			return promise(m);
-		}
-		if (j.bodyHash() != m.bodyHash() && !replaceable(j)) {
-			return JobStanding.BODY_DIFFERS;
-		}
-		if (j.state() == JobState.ENDED) {
-			return replaceable(j) ? inDoubt(j, m) : JobStanding.HELD;
-		}
-		if (j.state().holdsTasks() || j.claim().compareTo(m.claim()) > 0) {
-			j.remoteWaiters().add(link);
-			this.jobs.promise(m.jobId(), m.claim());
-			return JobStanding.HELD;
-		}
-		attach(j, from.address());
-		this.jobs.promise(m.jobId(), m.claim());
-		return j.fenceNeeded() ? JobStanding.YIELDED_IN_DOUBT : JobStanding.YIELDED;
-	}
-
-	private JobStanding promise(JobAsk m) {
-		FencedKey f = this.board.fencedKeys().get(m.jobId());
-		if (f != null && f.claim().compareTo(m.claim()) > 0) {
-			return JobStanding.SUPERSEDED;
-		}
-		this.jobs.promise(m.jobId(), m.claim());
-		return JobStanding.NOT_HELD;
-	}
-
-	private JobStanding inDoubt(JobRecord j, JobAsk m) {
-		JobStanding s = promise(m);
-		boolean unknown = j.answer().resultCode().family() == CodeFamily.UNKNOWN;
-		return (s == JobStanding.NOT_HELD && unknown) ? JobStanding.IN_DOUBT : s;
-	}
-
-	private void attach(JobRecord j, String address) {
-		j.distrust();
-		j.holder(address);
-		j.pendingReplies().clear();
-		j.enter(JobState.ATTACHED, this.board.now());
-	}
-
 	/**
 	 * Take the answer to a question.
 	 * @param address the peer that answers
@@ -310,7 +238,7 @@
 	private void afterReply(JobRecord j) {
 		if (j.state() == JobState.ASKING && j.pendingReplies().isEmpty()) {
 			if (!j.holder().isEmpty()) {
-				attach(j, j.holder());
+				j.attach(j.holder(), this.board.now());
 			}
 			else if (j.fencedOut()) {
 				this.jobs.superseded(j);
--- a/core/src/main/java/org/baobabspar/entry/EntryCore.java
+++ b/core/src/main/java/org/baobabspar/entry/EntryCore.java
@@ -54,6 +54,8 @@
 
 	private final ClaimController claims;
 
+	private final AskController asks;
+
 	private final DocumentController documents;
 
 	private long lastTickMillis;
@@ -75,6 +77,7 @@
 		AdmissionController admission = new AdmissionController(this.board, this.membership);
 		this.claims = new ClaimController(this.board, admission, this.jobs, this.placement, this.membership,
 				this.peers);
+		this.asks = new AskController(this.board, this.jobs);
 		this.documents = new DocumentController(this.board);
 		this.lastTickMillis = now;
 	}
@@ -281,7 +284,7 @@
 			this.placement.wake();
 		}
 		else if (m instanceof JobAsk a) {
-			Optional.ofNullable(this.board.peerLinks().get(link)).ifPresent((from) -> this.claims.asked(link, from, a));
+			Optional.ofNullable(this.board.peerLinks().get(link)).ifPresent((from) -> this.asks.answer(link, from, a));
 		}
 		else if (m instanceof JobAskReply r) {
 			this.claims.askReply(link, r);
--- a/core/src/main/java/org/baobabspar/entry/FairQueue.java
+++ b/core/src/main/java/org/baobabspar/entry/FairQueue.java
@@ -171,14 +171,6 @@
 		return (p != null) ? p.waitingAhead(urgency) : 0;
 	}
 
-	/**
-	 * List the parties that have waiting tasks.
-	 * @return their names
-	 */
-	List<String> waitingParties() {
-		return this.parties.values().stream().filter((p) -> p.waiting > 0).map((p) -> p.party).toList();
-	}
-
 	/** Tells how much of its agreed share each party uses now. */
 	interface ShareView {
 
--- a/core/src/main/java/org/baobabspar/entry/JobRecord.java
+++ b/core/src/main/java/org/baobabspar/entry/JobRecord.java
@@ -15,6 +15,7 @@
 
 import org.baobabspar.document.TaskClass;
 import org.baobabspar.model.Claim;
+import org.baobabspar.model.CodeFamily;
 import org.baobabspar.model.JobAnswer;
 import org.baobabspar.model.JobSpec;
 import org.baobabspar.model.ResultCode;
@@ -170,6 +171,31 @@
 		this.phaseMillis = now;
 	}
 
+	/**
+	 * Wait for the answer of another entry, whose holding the job also shows that there
+	 * are other attempts.
+	 * @param address the other entry
+	 * @param now monotonic milliseconds
+	 */
+	void attach(String address, long now) {
+		this.trusted = false;
+		this.holder = address;
+		this.pendingReplies.clear();
+		enter(JobState.ATTACHED, now);
+	}
+
+	/**
+	 * Tell whether a new submission may take the place of this one.
+	 * @return {@code true} if it was not run or its outcome is not known
+	 */
+	boolean replaceable() {
+		if (this.state != JobState.ENDED) {
+			return false;
+		}
+		CodeFamily f = this.answer.resultCode().family();
+		return f == CodeFamily.NOT_RUN || f == CodeFamily.UNKNOWN;
+	}
+
 	long phaseMillis() {
 		return this.phaseMillis;
 	}
@@ -228,10 +254,6 @@
 		return this.unproved;
 	}
 
-	void distrust() {
-		this.trusted = false;
-	}
-
 	void origin(long firstMillis, boolean trust) {
 		this.firstAttemptMillis = firstMillis;
 		this.trusted = trust;
@@ -345,10 +367,6 @@
 		this.waiting.clear();
 	}
 
-	int nextTask() {
-		return this.waiting.peek();
-	}
-
 	int pollTask() {
 		return this.waiting.poll();
 	}
--- a/core/src/main/java/org/baobabspar/entry/MembershipController.java
+++ b/core/src/main/java/org/baobabspar/entry/MembershipController.java
@@ -213,9 +213,12 @@
 				greet(a, peersHash);
 			}
 		}
-		this.board.agents()
-			.values()
-			.removeIf((a) -> !a.linked() && a.placements().isEmpty() && now - lastUsable(a) > s.windowMillis());
+		for (AgentRecord a : List.copyOf(this.board.agents().values())) {
+			if (!a.linked() && a.placements().isEmpty() && now - lastUsable(a) > s.windowMillis()) {
+				this.board.agents().remove(a.ref());
+				this.board.usage().forget(a.ref());
+			}
+		}
 	}
 
 	private boolean peersChanged(AgentRecord a, int peersHash) {
--- a/core/src/main/java/org/baobabspar/model/Claim.java
+++ b/core/src/main/java/org/baobabspar/model/Claim.java
@@ -40,14 +40,4 @@
 	public Claim next() {
 		return new Claim(this.attempt, this.rank, this.sequence + 1);
 	}
-
-	/**
-	 * Tell whether both claims belong to one submission.
-	 * @param other the other claim
-	 * @return {@code true} if only the sequences may differ
-	 */
-	public boolean sameSubmission(Claim other) {
-		return this.attempt == other.attempt && this.rank == other.rank;
-	}
-
 }
--- a/core/src/test/java/org/baobabspar/entry/FaultTableTests.java
+++ b/core/src/test/java/org/baobabspar/entry/FaultTableTests.java
@@ -281,6 +281,22 @@
 			Assert.assertEquals(w.startsOf("job"), 0);
 		}
 
+		@Test
+		void requestThatOutlivedTheLedgersInAPausedEntryIsNotStarted() {
+			World w = fleet(1);
+			w.entryNode("e1").pause();
+			World.Request stale = w.submit("e1", "job", "plain", 2);
+			w.run(500);
+			w.submit("e2", "job", "plain", 2);
+			w.run(4_000);
+			w.finishAll();
+			w.run(70_000);
+			w.entryNode("e1").thaw();
+			w.run(2_000);
+			Assert.assertEquals(stale.code().family(), CodeFamily.UNKNOWN);
+			Assert.assertEquals(w.startsOf("job"), 2);
+		}
+
 		@Test
 		void entryLossLosesNoJob() {
 			World w = fleet(1);
