Agents are cleared when every entry knows them, not when a task first waits

Cause: the time at which an agent was cleared was taken only during a pass over a queue with waiting tasks, so on an idle fleet that lost touch with an entry the first jobs found no agent. Found by the test of a request that outlived the ledgers. Ruled out: the bound on contested jobs itself. Before: expected [2] starts, found [0].

--- a/core/src/main/java/org/baobabspar/entry/MembershipController.java
+++ b/core/src/main/java/org/baobabspar/entry/MembershipController.java
@@ -209,6 +209,9 @@
 			if (a.linked() && a.state() != AgentState.LOST && now - a.heardMillis() >= s.leaseMillis()) {
 				lose(a);
 			}
+			if (a.clearedMillis() > now) {
+				usable(a);
+			}
 			if (a.linked() && (now - a.sentMillis() >= s.heartbeatMillis() || peersChanged(a, peersHash))) {
 				greet(a, peersHash);
 			}
