--- a/core/src/test/java/org/baobabspar/entry/FaultTableTests.java
+++ b/core/src/test/java/org/baobabspar/entry/FaultTableTests.java
@@ -297,6 +297,33 @@
 			Assert.assertEquals(w.startsOf("job"), 2);
 		}
 
+		@Test
+		void jobOfAnEntryThatWasCutOffIsNotGivenToAnAgentThatHasLostItsFences() {
+			World w = new World(1);
+			w.entry("e1");
+			w.entry("e2");
+			w.agent("a1", 1);
+			w.run(2_000);
+			w.submit("e1", "filler", "plain", 1);
+			w.settle();
+			w.submit("e1", "job", "plain", 1);
+			for (String other : List.of("e2", "a1")) {
+				w.cut("e1", other);
+				w.cut(other, "e1");
+			}
+			w.run(4_000);
+			World.Request second = w.submit("e2", "job", "plain", 1);
+			w.run(4_000);
+			w.finishAll();
+			w.finishAll();
+			Assert.assertEquals(second.code(), ResultCode.COMPLETE);
+			w.agentNode("a1").crash();
+			w.agentNode("a1").restart();
+			w.heal();
+			w.run(5_000);
+			Assert.assertEquals(w.startsOf("job"), 1);
+		}
+
 		@Test
 		void entryLossLosesNoJob() {
 			World w = fleet(1);
