--- a/core/src/main/java/org/baobabspar/entry/JobController.java
+++ b/core/src/main/java/org/baobabspar/entry/JobController.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -146,7 +147,7 @@
 	}
 
 	private Set<String> agentsOf(JobRecord j) {
-		Set<String> r = new HashSet<>();
+		Set<String> r = new LinkedHashSet<>();
 		j.placements().values().forEach((p) -> r.add(p.agentRef()));
 		return r;
 	}
@@ -300,7 +301,7 @@
 	 * @param a the agent, linked again
 	 */
 	void recover(AgentRecord a) {
-		Set<JobRecord> jobs = new HashSet<>();
+		Set<JobRecord> jobs = new LinkedHashSet<>();
 		a.placements().values().forEach((p) -> jobs.add(p.job()));
 		for (JobRecord j : jobs) {
 			fence(j, a.ref(),
@@ -313,7 +314,7 @@
 	 * @param a the agent
 	 */
 	void giveUp(AgentRecord a) {
-		Set<JobRecord> jobs = new HashSet<>();
+		Set<JobRecord> jobs = new LinkedHashSet<>();
 		for (Placement p : List.copyOf(a.placements().values())) {
 			this.placement.drop(p);
 			jobs.add(p.job());
