Settlement uses the reporting lag in force

Cause: agents report every two seconds, settle still counted one. Ruled out: none other. Before: 1000 ms. After: 2000 ms. Conclusion: the range of what may be missing is twice as wide.

--- a/daemon/src/main/java/org/baobabspar/daemon/SettleCommand.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/SettleCommand.java
@@ -32,7 +32,7 @@
 			Setting.text("log", "127.0.0.1:7000", "address of the platform log, host:port"),
 			Setting.text("environment", "production", "the environment"),
 			Setting.text("month", YearMonth.now(ZoneOffset.UTC).toString(), "the month, yyyy-MM in UTC"),
-			Setting.number("lag-millis", 1_000, 0, 3_600_000, "ms", "reporting lag of an agent"),
+			Setting.number("lag-millis", 2_000, 0, 3_600_000, "ms", "reporting lag of an agent"),
 			Setting.number("slots", 8, 1, 1024, "tasks", "slots of an endpoint"),
 			Setting.text("csv", "", "file to write the settlement to as CSV"),
 			Setting.text("html", "", "file to write the settlement to as a page with a plot"));
