One bound on peers never seen, one way to read a whole stream

Cause: the bound on a peer that has never answered stood in two controllers, and two commands paged through the log and decoded records by loops of their own. Ruled out: the accessors and constructors that look alike; they hold different state. Before: two constants, two loops, two decoders. After: PeerRecord.givenUpUnseen, LogClient.readAll, LogPage.Record.as.

--- a/core/src/main/java/org/baobabspar/entry/MembershipController.java
+++ b/core/src/main/java/org/baobabspar/entry/MembershipController.java
@@ -33,8 +33,6 @@
  */
 final class MembershipController {
 
-	private static final long UNSEEN_PEER_HOLD_MILLIS = 10_000;
-
 	private final Blackboard board;
 
 	private final Map<String, Integer> peersSent = new HashMap<>();
@@ -163,7 +161,7 @@
 
 	private boolean knownTo(AgentRecord a, PeerRecord p) {
 		if (p.info() == null) {
-			return this.board.now() - p.learnedMillis() > UNSEEN_PEER_HOLD_MILLIS;
+			return p.givenUpUnseen(this.board.now());
 		}
 		return a.knownToPeers().contains(p.info().ref());
 	}
--- a/core/src/main/java/org/baobabspar/entry/PeerController.java
+++ b/core/src/main/java/org/baobabspar/entry/PeerController.java
@@ -28,8 +28,6 @@
  */
 final class PeerController {
 
-	private static final long UNSEEN_PEER_HOLD_MILLIS = 10_000;
-
 	private final Blackboard board;
 
 	private final MembershipController membership;
@@ -246,8 +244,7 @@
 		return this.board.peers()
 			.values()
 			.stream()
-			.allMatch(
-					(p) -> p.welcomed() || p.gone() || this.board.now() - p.learnedMillis() > UNSEEN_PEER_HOLD_MILLIS);
+			.allMatch((p) -> p.welcomed() || p.gone() || p.givenUpUnseen(this.board.now()));
 	}
 
 	/**
--- a/core/src/main/java/org/baobabspar/entry/PeerRecord.java
+++ b/core/src/main/java/org/baobabspar/entry/PeerRecord.java
@@ -11,6 +11,8 @@
  */
 final class PeerRecord {
 
+	private static final long UNSEEN_PEER_HOLD_MILLIS = 10_000;
+
 	private final String address;
 
 	private final long learnedMillis;
@@ -38,6 +40,15 @@
 		return this.address;
 	}
 
+	/**
+	 * Tell whether a peer that has never answered need not be waited for any longer.
+	 * @param now monotonic milliseconds
+	 * @return {@code true} once its address was known for the bound
+	 */
+	boolean givenUpUnseen(long now) {
+		return now - this.learnedMillis > UNSEEN_PEER_HOLD_MILLIS;
+	}
+
 	long learnedMillis() {
 		return this.learnedMillis;
 	}
--- a/daemon/src/main/java/org/baobabspar/daemon/EnvironmentCommand.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/EnvironmentCommand.java
@@ -10,7 +10,6 @@
 import java.util.TreeMap;
 import java.util.UUID;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import org.baobabspar.document.DocumentFormat;
 import org.baobabspar.document.DocumentHistory;
@@ -107,28 +106,11 @@
 	}
 
 	private static DocumentHistory load(Settings s, String environment) {
-		LogClient log = new LogClient(s.text("log"));
 		DocumentHistory h = new DocumentHistory(environment);
-		long next = 0;
-		while (true) {
-			LogPage p = log.read(EnvironmentWatcher.STREAM, next, 0).block();
-			for (LogPage.Record r : p.records()) {
-				apply(h, r);
-			}
-			if (p.records().isEmpty()) {
-				return h;
-			}
-			next = p.next();
-		}
-	}
-
-	private static void apply(DocumentHistory h, LogPage.Record r) {
-		try {
-			h.apply(r.offset(), Json.MAPPER.treeToValue(r.value(), DocumentRecord.class));
-		}
-		catch (JsonProcessingException | IllegalArgumentException ex) {
-			throw new CodedException(ResultCode.DOCUMENT_INVALID, "record " + r.offset() + " is not readable", ex);
+		for (LogPage.Record r : new LogClient(s.text("log")).readAll(EnvironmentWatcher.STREAM)) {
+			h.apply(r.offset(), r.as(DocumentRecord.class));
 		}
+		return h;
 	}
 
 	private static long version(Settings s, DocumentHistory h) {
--- a/daemon/src/main/java/org/baobabspar/daemon/LogClient.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/LogClient.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.buffer.Unpooled;
@@ -77,6 +79,21 @@
 			.onErrorMap(LogClient::unavailable);
 	}
 
+	/**
+	 * Read all that a stream keeps. Blocks, for the command line.
+	 * @param stream the stream
+	 * @return its records in order
+	 */
+	public List<LogPage.Record> readAll(String stream) {
+		List<LogPage.Record> r = new ArrayList<>();
+		LogPage p = read(stream, 0, 0).block();
+		while (!p.records().isEmpty()) {
+			r.addAll(p.records());
+			p = read(stream, p.next(), 0).block();
+		}
+		return r;
+	}
+
 	private static LogPage page(JsonNode n) {
 		return Json.MAPPER.convertValue(n, LogPage.class);
 	}
--- a/daemon/src/main/java/org/baobabspar/daemon/LogPage.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/LogPage.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import org.baobabspar.model.CodedException;
+import org.baobabspar.model.ResultCode;
 
 /**
  * What the platform log returns for a read. Immutable.
@@ -22,6 +25,23 @@
 	 * @param value its content
 	 */
 	public record Record(long offset, long timeMillis, JsonNode value) {
+
+		/**
+		 * Read the content as a type.
+		 * @param type the type
+		 * @param <T> the type
+		 * @return the content
+		 * @throws CodedException with {@link ResultCode#DOCUMENT_INVALID}
+		 */
+		public <T> T as(Class<T> type) {
+			try {
+				return Json.MAPPER.treeToValue(this.value, type);
+			}
+			catch (JsonProcessingException | IllegalArgumentException ex) {
+				throw new CodedException(ResultCode.DOCUMENT_INVALID, "record " + this.offset + " is not readable", ex);
+			}
+		}
+
 	}
 
 }
--- a/daemon/src/main/java/org/baobabspar/daemon/SettleCommand.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/SettleCommand.java
@@ -12,7 +12,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import org.baobabspar.document.DocumentHistory;
 import org.baobabspar.document.DocumentRecord;
 import org.baobabspar.document.Party;
@@ -60,8 +59,8 @@
 
 	private static Map<String, Double> shares(LogClient log, String environment) {
 		DocumentHistory h = new DocumentHistory(environment);
-		for (LogPage.Record r : all(log, EnvironmentWatcher.STREAM)) {
-			h.apply(r.offset(), value(r, DocumentRecord.class));
+		for (LogPage.Record r : log.readAll(EnvironmentWatcher.STREAM)) {
+			h.apply(r.offset(), r.as(DocumentRecord.class));
 		}
 		Map<String, Double> shares = new TreeMap<>();
 		h.inForce().ifPresent((v) -> {
@@ -74,34 +73,12 @@
 
 	private static List<UsageRecord> records(LogClient log) {
 		List<UsageRecord> records = new ArrayList<>();
-		for (LogPage.Record r : all(log, UsageWriter.STREAM)) {
-			records.addAll(value(r, UsageBatch.class).records());
+		for (LogPage.Record r : log.readAll(UsageWriter.STREAM)) {
+			records.addAll(r.as(UsageBatch.class).records());
 		}
 		return records;
 	}
 
-	private static List<LogPage.Record> all(LogClient log, String stream) {
-		List<LogPage.Record> r = new ArrayList<>();
-		long next = 0;
-		while (true) {
-			LogPage p = log.read(stream, next, 0).block();
-			if (p.records().isEmpty()) {
-				return r;
-			}
-			r.addAll(p.records());
-			next = p.next();
-		}
-	}
-
-	private static <T> T value(LogPage.Record r, Class<T> type) {
-		try {
-			return Json.MAPPER.treeToValue(r.value(), type);
-		}
-		catch (JsonProcessingException | IllegalArgumentException ex) {
-			throw new CodedException(ResultCode.DOCUMENT_INVALID, "record " + r.offset() + " is not readable", ex);
-		}
-	}
-
 	private static void print(Settlement t, PrintStream out) {
 		out.printf("settlement of %s: %.4f slot hours by %d agent incarnations, at most %.4f slot hours missing%n",
 				t.month(), t.totalSlotMillis() / MILLIS_PER_HOUR, t.incarnations(),
