Thin path on the users' platform: entry and agent with leased runs

Cause: the platform's workers run tasks under leases and take calls only from their own machine; the product had no leases, rooms or repeated runs. Every job of both deployments is best effort: it is answered when it ends and handed in again if its entry dies, so it needs no store. Conclusion: jobs live in an entry's memory; two leases keep runs apart.

--- /dev/null
+++ b/core/src/main/java/org/baobabspar/dispatch/AgentView.java
@@ -0,0 +1,99 @@
+package org.baobabspar.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.baobabspar.fleet.EndpointState;
+import org.baobabspar.fleet.EndpointStatus;
+import org.baobabspar.fleet.Room;
+import org.baobabspar.fleet.RunKey;
+
+/**
+ * One lifetime of an agent, as an entry sees it. Its free room is what the agent last
+ * said, less what this entry has ordered since. Example: the agent says 6 cores free
+ * after order 7; orders 8 and 9 took 3 cores each, so nothing is free until it says more.
+ * Used on the control thread only.
+ */
+final class AgentView {
+
+	/** An agent that was not heard for so long gets no new runs. */
+	static final long QUIET_MILLIS = 260;
+
+	final String name;
+
+	final long incarnation;
+
+	final String domain;
+
+	/** Runs ordered from it whose end is not known, by task. */
+	final Map<String, PlacedTask> ordered = new HashMap<>();
+
+	String link;
+
+	EndpointStatus status;
+
+	long heardMillis;
+
+	long agentClockMillis;
+
+	long lastSequence;
+
+	long endsSeen;
+
+	/** Runs that the agent listed on a new link, until they are compared. */
+	Set<RunKey> listed;
+
+	private final Deque<SentRoom> sent = new ArrayDeque<>();
+
+	private Room unseen = Room.NONE;
+
+	AgentView(String name, long incarnation, String domain) {
+		this.name = name;
+		this.incarnation = incarnation;
+		this.domain = domain;
+	}
+
+	void linked(String newLink, EndpointStatus s, Iterable<RunKey> runs, long nowMillis) {
+		this.link = newLink;
+		this.status = s;
+		this.heardMillis = nowMillis;
+		this.lastSequence = 0;
+		this.sent.clear();
+		this.unseen = Room.NONE;
+		this.listed = new HashSet<>();
+		runs.forEach(this.listed::add);
+	}
+
+	void heard(EndpointStatus s, long nowMillis) {
+		this.status = s;
+		this.heardMillis = nowMillis;
+		while (!this.sent.isEmpty() && this.sent.peek().sequence <= s.lastStartSequence()) {
+			this.unseen = this.unseen.minus(this.sent.remove().room);
+		}
+	}
+
+	long order(PlacedTask t) {
+		this.ordered.put(t.name, t);
+		this.lastSequence++;
+		this.sent.add(new SentRoom(this.lastSequence, t.spec.room()));
+		this.unseen = this.unseen.plus(t.spec.room());
+		return this.lastSequence;
+	}
+
+	Room free() {
+		return this.status.free().minus(this.unseen);
+	}
+
+	boolean usable(long nowMillis) {
+		return this.link != null && this.status.state() == EndpointState.READY
+				&& nowMillis - this.heardMillis < QUIET_MILLIS;
+	}
+
+	private record SentRoom(long sequence, Room room) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/dispatch/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry's side of a job: which job is next, where its tasks run and what is answered.
+ */
+package org.baobabspar.dispatch;
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/message/EntryWelcome.java
@@ -0,0 +1,13 @@
+package org.baobabspar.message;
+
+import java.util.List;
+
+/**
+ * First message of an entry on a link from an agent. Immutable.
+ *
+ * @param entry name of the entry
+ * @param incarnation the entry's lifetime
+ * @param entries addresses of all entries that it knows
+ */
+public record EntryWelcome(String entry, long incarnation, List<String> entries) implements Message {
+}
--- a/core/src/main/java/org/baobabspar/message/Message.java
+++ b/core/src/main/java/org/baobabspar/message/Message.java
@@ -7,6 +7,7 @@
 public sealed interface Message permits AgentHello, AgentHeartbeat, TaskEnded, TaskRefused, FenceReply, JobSuperseded,
 		AgentGoodbye, EntryNotice, EntryHello, EntryHeartbeat, Dispatch, Fence, DrainAck, GoodbyeAck, DocumentNotice,
 		PeerHello, PeerWelcome, PeerHeartbeat, PeerEcho, AgentNotices, NoticesAck, JobAsk, JobAskReply, JobEnded,
-		JobCancel, PeerGoodbye {
+		JobCancel, PeerGoodbye, SupervisorHello, EntryWelcome, LeaseRequest, LeaseGrant, RunStart, RunStop, RunEnded,
+		RoutingNotice {
 
 }
--- a/core/src/main/java/org/baobabspar/message/MessageType.java
+++ b/core/src/main/java/org/baobabspar/message/MessageType.java
@@ -86,7 +86,31 @@
 	JOB_CANCEL(49, JobCancel.class),
 
 	/** See {@link PeerGoodbye}. */
-	PEER_GOODBYE(50, PeerGoodbye.class);
+	PEER_GOODBYE(50, PeerGoodbye.class),
+
+	/** See {@link SupervisorHello}. */
+	SUPERVISOR_HELLO(60, SupervisorHello.class),
+
+	/** See {@link EntryWelcome}. */
+	ENTRY_WELCOME(61, EntryWelcome.class),
+
+	/** See {@link LeaseRequest}. */
+	LEASE_REQUEST(62, LeaseRequest.class),
+
+	/** See {@link LeaseGrant}. */
+	LEASE_GRANT(63, LeaseGrant.class),
+
+	/** See {@link RunStart}. */
+	RUN_START(64, RunStart.class),
+
+	/** See {@link RunStop}. */
+	RUN_STOP(65, RunStop.class),
+
+	/** See {@link RunEnded}. */
+	RUN_ENDED(66, RunEnded.class),
+
+	/** See {@link RoutingNotice}. */
+	ROUTING_NOTICE(67, RoutingNotice.class);
 
 	private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
 
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/message/RunStart.java
@@ -0,0 +1,19 @@
+package org.baobabspar.message;
+
+import org.baobabspar.fleet.Room;
+import org.baobabspar.fleet.RunKey;
+
+/**
+ * Asks an agent to start a run. Immutable.
+ *
+ * @param sequence raised by the entry for each start at this agent
+ * @param run the run
+ * @param payload given to the task
+ * @param room what it needs
+ * @param expectedMillis expected run time at speed 1
+ * @param leaseMillis newest agent clock that the entry has seen, which limits how late
+ * the start may arrive
+ */
+public record RunStart(long sequence, RunKey run, String payload, Room room, long expectedMillis,
+		long leaseMillis) implements Message {
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/message/RunStop.java
@@ -0,0 +1,11 @@
+package org.baobabspar.message;
+
+import org.baobabspar.fleet.RunKey;
+
+/**
+ * Asks an agent to stop a run. Immutable.
+ *
+ * @param run the run
+ */
+public record RunStop(RunKey run) implements Message {
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/supervise/PresentRun.java
@@ -0,0 +1,11 @@
+package org.baobabspar.supervise;
+
+/**
+ * A run that an endpoint lists as present. Immutable and safe for any thread.
+ *
+ * @param task the task
+ * @param number number of the run
+ * @param percent how far it is, 0 if the endpoint does not say
+ */
+public record PresentRun(String task, long number, int percent) {
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -0,0 +1,675 @@
+package org.baobabspar.supervise;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.baobabspar.fleet.EndpointState;
+import org.baobabspar.fleet.EndpointStatus;
+import org.baobabspar.fleet.Room;
+import org.baobabspar.fleet.RunEnd;
+import org.baobabspar.fleet.RunKey;
+import org.baobabspar.message.EntryWelcome;
+import org.baobabspar.message.LeaseGrant;
+import org.baobabspar.message.LeaseRequest;
+import org.baobabspar.message.RunEnded;
+import org.baobabspar.message.RunStart;
+import org.baobabspar.message.SupervisorHello;
+import org.baobabspar.supervise.SupervisedRun.Phase;
+
+/**
+ * Decides for one agent which runs its endpoint gets, keeps the endpoint's lease alive
+ * and stops what has no owner. Example: an entry is cut off, its lease runs out after 350
+ * ms, its runs are stopped, their room is free again when the endpoint lists their ends,
+ * and the ends are sent when the entry is back.
+ * <p>
+ * Invariants: the room of all runs that may be present never exceeds the endpoint's
+ * capacity; a run is started only while its entry's lease holds and the start is fresh; a
+ * run is reported as refused only if it never began. Used on the control thread only.
+ */
+public final class RunSupervisor {
+
+	/** Time between two requests for the lease of a link. */
+	private static final long REQUEST_MILLIS = 100;
+
+	/** An endpoint that has not answered for so long gets no new runs. */
+	private static final long SILENT_MILLIS = 400;
+
+	private static final long STOP_RETRY_MILLIS = 80;
+
+	private static final long LOOK_RETRY_MILLIS = 20;
+
+	/** How long a look waits for an end while runs need their lease renewed. */
+	private static final long BUSY_WAIT_MILLIS = 150;
+
+	/** How long a look waits for an end while nothing runs. */
+	private static final long IDLE_WAIT_MILLIS = 400;
+
+	private static final long FENCE_STEP = 10_000;
+
+	/** A run that makes no progress for this many expected run times stands still. */
+	private static final double STALL_FACTOR = 3;
+
+	private static final long STALL_MILLIS = 300;
+
+	private static final int MAX_ENDS_LISTED = 500;
+
+	private final String agent;
+
+	private final long incarnation;
+
+	private final String domain;
+
+	private final EndpointDriver driver;
+
+	private final SupervisorOutbox outbox;
+
+	private final Consumer<String> log;
+
+	private final Map<Long, Owner> owners = new HashMap<>();
+
+	private final Map<String, Owner> byLink = new HashMap<>();
+
+	private final Map<String, SupervisedRun> runs = new LinkedHashMap<>();
+
+	private final EndpointHealth health = new EndpointHealth();
+
+	private EndpointReport endpoint;
+
+	private Set<String> strays = new HashSet<>();
+
+	private boolean looked;
+
+	private boolean looking;
+
+	private boolean probing;
+
+	private boolean answered;
+
+	private long lookAgainMillis;
+
+	private long lastAnswerMillis;
+
+	private long lastRenewalMillis;
+
+	private long confirmedEnds;
+
+	private long fence;
+
+	private boolean draining;
+
+	/**
+	 * Create the supervisor of an agent.
+	 * @param agent name of the agent
+	 * @param incarnation its lifetime
+	 * @param domain its failure domain
+	 * @param firstFence first fencing token to try
+	 * @param driver calls the endpoint
+	 * @param outbox sends messages
+	 * @param log takes lines for the log
+	 */
+	public RunSupervisor(String agent, long incarnation, String domain, long firstFence, EndpointDriver driver,
+			SupervisorOutbox outbox, Consumer<String> log) {
+		this.agent = agent;
+		this.incarnation = incarnation;
+		this.domain = domain;
+		this.fence = firstFence;
+		this.driver = driver;
+		this.outbox = outbox;
+		this.log = log;
+	}
+
+	// The endpoint
+
+	/**
+	 * Take a report of the endpoint.
+	 * @param r the report
+	 * @param nowMillis the time
+	 */
+	public void report(EndpointReport r, long nowMillis) {
+		if (this.endpoint != null && r.bornMillis() < this.endpoint.bornMillis()) {
+			this.log.accept("ignored report=late endpoint=" + r.endpointId() + " born=" + r.bornMillis());
+			return;
+		}
+		if (this.endpoint == null || r.bornMillis() > this.endpoint.bornMillis()
+				|| !r.endpointId().equals(this.endpoint.endpointId())) {
+			attach(r, nowMillis);
+		}
+		else if (r.sequence() > this.endpoint.sequence()) {
+			boolean drains = r.draining() && !this.endpoint.draining();
+			this.endpoint = r;
+			if (drains) {
+				this.log.accept("endpoint=" + r.endpointId() + " state=draining sequence=" + r.sequence());
+			}
+		}
+		statusChanged();
+	}
+
+	private void attach(EndpointReport r, long nowMillis) {
+		this.log.accept("endpoint=" + r.endpointId() + " born=" + r.bornMillis() + " service=" + r.service()
+				+ " state=attached");
+		loseAll("new_lifetime", nowMillis);
+		this.endpoint = r;
+		this.looked = false;
+		this.answered = false;
+		this.confirmedEnds = 0;
+		this.health.reset();
+		this.lastAnswerMillis = nowMillis;
+		this.driver.attach(r);
+		this.looking = false;
+		look(nowMillis);
+	}
+
+	/**
+	 * Take the endpoint's word that it is gone.
+	 * @param endpointId the endpoint
+	 * @param nowMillis the time
+	 */
+	public void left(String endpointId, long nowMillis) {
+		if (this.endpoint != null && this.endpoint.endpointId().equals(endpointId)) {
+			this.log.accept("endpoint=" + endpointId + " state=left");
+			this.endpoint = new EndpointReport(endpointId, this.endpoint.bornMillis(), Long.MAX_VALUE,
+					this.endpoint.service(), this.endpoint.capacity(), this.endpoint.labels(), true);
+			statusChanged();
+		}
+	}
+
+	private void look(long nowMillis) {
+		if (this.looking || this.endpoint == null) {
+			return;
+		}
+		this.looking = true;
+		if (!this.answered) {
+			this.driver.look(0, this.confirmedEnds, 0, this.fence);
+		}
+		else if (this.runs.isEmpty()) {
+			this.driver.look(0, this.confirmedEnds, IDLE_WAIT_MILLIS, this.fence);
+		}
+		else {
+			this.lastRenewalMillis = nowMillis;
+			this.driver.look(LeaseTimes.ENDPOINT_LEASE_MILLIS, this.confirmedEnds, BUSY_WAIT_MILLIS, this.fence);
+		}
+	}
+
+	/**
+	 * Ask at once, beside the look that waits for an end, whether runs whose starts got
+	 * no answer are present.
+	 */
+	private void probe() {
+		if (!this.probing && this.runs.values().stream().anyMatch((r) -> r.phase == Phase.UNCERTAIN)) {
+			this.probing = true;
+			this.driver.probe(this.confirmedEnds, this.fence);
+		}
+	}
+
+	/**
+	 * Take the answer to a probe.
+	 * @param answer the answer, empty if there was none
+	 * @param nowMillis the time
+	 */
+	public void probed(Optional<Observation> answer, long nowMillis) {
+		this.probing = false;
+		answer.filter(this::current).ifPresent((o) -> take(o, nowMillis));
+	}
+
+	private boolean current(Observation o) {
+		return this.endpoint != null && o.bornMillis() == this.endpoint.bornMillis();
+	}
+
+	private void take(Observation o, long nowMillis) {
+		this.lastAnswerMillis = nowMillis;
+		takeEnds(o, nowMillis);
+		takePresent(o, nowMillis);
+	}
+
+	/**
+	 * Take the answer to a look.
+	 * @param o the answer
+	 * @param nowMillis the time
+	 */
+	public void observed(Observation o, long nowMillis) {
+		this.looking = false;
+		if (!current(o)) {
+			return;
+		}
+		boolean wasUsable = this.looked && this.answered && this.strays.isEmpty();
+		this.answered = true;
+		take(o, nowMillis);
+		this.looked = true;
+		if (!wasUsable && this.strays.isEmpty()) {
+			this.log.accept("endpoint=" + this.endpoint.endpointId() + " state=answering");
+			statusChanged();
+		}
+		look(nowMillis);
+	}
+
+	private void takeEnds(Observation o, long nowMillis) {
+		for (EndedRun e : o.ended()) {
+			if (e.sequence() <= this.confirmedEnds) {
+				continue;
+			}
+			this.confirmedEnds = e.sequence();
+			SupervisedRun r = this.runs.get(e.task());
+			if (r != null && r.is(e.task(), e.number())) {
+				r.confirm(nowMillis);
+				finish(r, e.end(), nowMillis);
+			}
+		}
+	}
+
+	private void takePresent(Observation o, long nowMillis) {
+		Set<String> present = new HashSet<>();
+		Set<String> unknown = new HashSet<>();
+		for (PresentRun p : o.present()) {
+			SupervisedRun r = this.runs.get(p.task());
+			if (r != null && r.is(p.task(), p.number())) {
+				present.add(p.task());
+				r.confirm(nowMillis);
+				r.progress(p.percent(), nowMillis);
+			}
+			else {
+				unknown.add(p.task());
+				this.log.accept("stop run=" + p.task() + "#" + p.number() + " reason=unknown_run");
+				this.driver.stop(p.task(), p.number(), this.fence);
+			}
+		}
+		this.strays = unknown;
+		boolean all = o.ended().size() < MAX_ENDS_LISTED;
+		for (SupervisedRun r : List.copyOf(this.runs.values())) {
+			if (all && !present.contains(r.key.task())) {
+				absent(r, o.sentMillis(), nowMillis);
+			}
+		}
+	}
+
+	/**
+	 * Take a run that the endpoint lists neither as present nor as ended. That means
+	 * something only if the look was sent after the start or the stop was confirmed.
+	 * @param r the run
+	 * @param sentMillis when the look was sent
+	 * @param nowMillis the time
+	 */
+	private void absent(SupervisedRun r, long sentMillis, long nowMillis) {
+		switch (r.phase) {
+			case RUNNING -> {
+				if (sentMillis > r.confirmedMillis) {
+					finish(r, RunEnd.LOST, nowMillis);
+				}
+			}
+			case STOPPING -> {
+				if (r.stopConfirmedMillis > 0 && sentMillis >= r.stopConfirmedMillis) {
+					finish(r, r.seen ? RunEnd.STOPPED : RunEnd.NUMBER_USED, nowMillis);
+				}
+			}
+			case UNCERTAIN -> stop(r, nowMillis, "start_unanswered");
+			case STARTING -> {
+				// Its answer is still to come.
+			}
+		}
+	}
+
+	/**
+	 * Take it that a look got no answer.
+	 * @param nowMillis the time
+	 */
+	public void lookFailed(long nowMillis) {
+		this.looking = false;
+		this.answered = false;
+		this.lookAgainMillis = nowMillis + LOOK_RETRY_MILLIS;
+	}
+
+	/**
+	 * Take it that the endpoint knows a higher fencing token.
+	 * @param nowMillis the time
+	 */
+	public void fenced(long nowMillis) {
+		this.fence += FENCE_STEP;
+		this.log.accept("fence=" + this.fence + " reason=refused");
+		lookFailed(nowMillis);
+	}
+
+	/**
+	 * Take it that another lifetime answered in the place of the endpoint.
+	 * @param nowMillis the time
+	 */
+	public void otherLifetime(long nowMillis) {
+		if (this.endpoint != null) {
+			loseAll("other_lifetime", nowMillis);
+			this.looked = false;
+		}
+		lookFailed(nowMillis);
+		statusChanged();
+	}
+
+	// Runs
+
+	/**
+	 * Take an order to start a run.
+	 * @param link the link that it came on
+	 * @param m the order
+	 * @param nowMillis the time, by a clock that counts suspended time, too
+	 */
+	public void start(String link, RunStart m, long nowMillis) {
+		Owner owner = this.byLink.get(link);
+		if (owner == null) {
+			return;
+		}
+		owner.lastStartSequence = m.sequence();
+		Optional<String> refusal = refusal(owner, m, nowMillis);
+		if (refusal.isPresent()) {
+			this.log.accept("refuse run=" + m.run().task() + "#" + m.run().number() + " entry=" + owner.name
+					+ " reason=" + refusal.get());
+			send(owner, owner.end(m.run(), RunEnd.REFUSED, 0));
+			statusChanged();
+			return;
+		}
+		SupervisedRun r = new SupervisedRun(m.run(), owner, m.room(), m.expectedMillis(), nowMillis);
+		this.runs.put(m.run().task(), r);
+		this.lastRenewalMillis = nowMillis;
+		this.driver.start(m.run(), m.payload(), LeaseTimes.ENDPOINT_LEASE_MILLIS, this.fence);
+		statusChanged();
+	}
+
+	private Optional<String> refusal(Owner owner, RunStart m, long nowMillis) {
+		if (nowMillis - m.leaseMillis() > LeaseTimes.ENTRY_LEASE_MILLIS) {
+			return Optional.of("late_ms_" + (nowMillis - m.leaseMillis()));
+		}
+		if (!owner.leased(nowMillis)) {
+			return Optional.of("no_lease");
+		}
+		EndpointState s = state(nowMillis);
+		if (s == EndpointState.DRAINING || s == EndpointState.SILENT) {
+			return Optional.of(s.name());
+		}
+		if (this.runs.values().stream().anyMatch((r) -> r.owner != owner && r.key.jobId().equals(m.run().jobId()))
+				|| this.runs.containsKey(m.run().task())) {
+			return Optional.of("job_present");
+		}
+		return m.room().fitsInto(free()) ? Optional.empty() : Optional.of("no_room");
+	}
+
+	/**
+	 * Take the endpoint's answer to a start.
+	 * @param run the run
+	 * @param a the answer
+	 * @param nowMillis the time
+	 */
+	public void startAnswered(RunKey run, StartAnswer a, long nowMillis) {
+		SupervisedRun r = this.runs.get(run.task());
+		if (a == StartAnswer.FENCED) {
+			this.fence += FENCE_STEP;
+		}
+		if (r == null || !r.key.equals(run)) {
+			return;
+		}
+		if (a == StartAnswer.STARTED) {
+			r.confirm(nowMillis);
+		}
+		else if (a == StartAnswer.UNKNOWN) {
+			this.log.accept("unanswered run=" + run.task() + "#" + run.number());
+			if (r.phase == Phase.STARTING) {
+				r.phase = Phase.UNCERTAIN;
+				probe();
+			}
+		}
+		else {
+			this.log.accept("refused run=" + run.task() + "#" + run.number() + " answer=" + a);
+			finish(r, a.end().orElseThrow(), nowMillis);
+		}
+	}
+
+	/**
+	 * Take an order to stop a run.
+	 * @param link the link that it came on
+	 * @param run the run
+	 * @param nowMillis the time
+	 */
+	public void stop(String link, RunKey run, long nowMillis) {
+		SupervisedRun r = this.runs.get(run.task());
+		if (r != null && r.key.equals(run)) {
+			stop(r, nowMillis, "asked");
+		}
+	}
+
+	private void stop(SupervisedRun r, long nowMillis, String reason) {
+		if (r.phase != Phase.STOPPING) {
+			this.log.accept("stop run=" + r.key.task() + "#" + r.key.number() + " reason=" + reason);
+			r.phase = Phase.STOPPING;
+			sendStop(r, nowMillis);
+		}
+	}
+
+	private void sendStop(SupervisedRun r, long nowMillis) {
+		r.stopSentMillis = nowMillis;
+		this.driver.stop(r.key.task(), r.key.number(), this.fence);
+	}
+
+	/**
+	 * Take the endpoint's confirmation of a stop.
+	 * @param task the task
+	 * @param number number of the run
+	 * @param nowMillis the time
+	 */
+	public void stopConfirmed(String task, long number, long nowMillis) {
+		SupervisedRun r = this.runs.get(task);
+		if (r != null && r.is(task, number) && r.phase == Phase.STOPPING && r.stopConfirmedMillis == 0) {
+			r.stopConfirmedMillis = nowMillis;
+		}
+	}
+
+	private void finish(SupervisedRun r, RunEnd end, long nowMillis) {
+		this.runs.remove(r.key.task());
+		long ran = r.seen ? nowMillis - r.startedMillis : 0;
+		this.health.ended(r, end, ran, nowMillis);
+		if (end != RunEnd.DONE) {
+			this.log.accept("ended run=" + r.key.task() + "#" + r.key.number() + " entry=" + r.owner.name + " end="
+					+ end + " ran_ms=" + ran + " expected_ms=" + r.expectedMillis);
+		}
+		send(r.owner, r.owner.end(r.key, end, ran));
+		statusChanged();
+	}
+
+	private void loseAll(String reason, long nowMillis) {
+		if (!this.runs.isEmpty()) {
+			this.log.accept("lost runs=" + this.runs.size() + " reason=" + reason);
+		}
+		for (SupervisedRun r : List.copyOf(this.runs.values())) {
+			finish(r, RunEnd.LOST, nowMillis);
+		}
+		this.strays = new HashSet<>();
+	}
+
+	// Entries
+
+	/**
+	 * Take the welcome of an entry: from now on the link speaks for that lifetime.
+	 * @param link the link
+	 * @param m the welcome
+	 * @param nowMillis the time
+	 */
+	public void welcomed(String link, EntryWelcome m, long nowMillis) {
+		Owner o = this.owners.computeIfAbsent(m.incarnation(), (i) -> new Owner(i, m.entry()));
+		if (o.link != null) {
+			this.byLink.remove(o.link);
+		}
+		o.link = link;
+		o.linked = true;
+		o.lastStartSequence = 0;
+		this.byLink.put(link, o);
+		this.log.accept("entry=" + m.entry() + " incarnation=" + m.incarnation() + " state=linked");
+		this.outbox.send(link, new SupervisorHello(this.agent, this.incarnation, this.domain,
+				status(o.lastStartSequence, nowMillis), runsOf(m.incarnation())));
+		o.unconfirmed().forEach((e) -> this.outbox.send(link, e));
+		request(o, nowMillis);
+	}
+
+	private List<RunKey> runsOf(long incarnation) {
+		return this.runs.values().stream().filter((r) -> r.owner.incarnation == incarnation).map((r) -> r.key).toList();
+	}
+
+	/**
+	 * Take the end of a link.
+	 * @param link the link
+	 */
+	public void unlinked(String link) {
+		Owner o = this.byLink.remove(link);
+		if (o != null && link.equals(o.link)) {
+			o.linked = false;
+			this.log.accept("entry=" + o.name + " state=unlinked");
+		}
+	}
+
+	/**
+	 * Take a grant of an entry.
+	 * @param link the link
+	 * @param m the grant
+	 */
+	public void granted(String link, LeaseGrant m) {
+		Owner o = this.byLink.get(link);
+		if (o != null) {
+			o.leaseUntilMillis = Math.max(o.leaseUntilMillis, m.sentMillis() + LeaseTimes.ENTRY_LEASE_MILLIS);
+			o.confirm(m.endsSeen());
+		}
+	}
+
+	private void request(Owner o, long nowMillis) {
+		o.lastRequestMillis = nowMillis;
+		o.statusDue = false;
+		this.outbox.send(o.link, new LeaseRequest(nowMillis, status(o.lastStartSequence, nowMillis)));
+	}
+
+	private void send(Owner o, RunEnded e) {
+		if (o.linked) {
+			this.outbox.send(o.link, e);
+		}
+	}
+
+	private void statusChanged() {
+		this.owners.values().forEach((o) -> o.statusDue = true);
+	}
+
+	/**
+	 * Send the changes of the endpoint's status that have come together. Called after
+	 * each batch of events.
+	 * @param nowMillis the time
+	 */
+	public void flush(long nowMillis) {
+		for (Owner o : this.owners.values()) {
+			if (o.linked && o.statusDue) {
+				request(o, nowMillis);
+			}
+		}
+	}
+
+	// Time
+
+	/**
+	 * Do what is due.
+	 * @param nowMillis the time
+	 */
+	public void tick(long nowMillis) {
+		for (Owner o : this.owners.values()) {
+			if (o.linked && nowMillis - o.lastRequestMillis >= REQUEST_MILLIS) {
+				request(o, nowMillis);
+			}
+		}
+		for (SupervisedRun r : List.copyOf(this.runs.values())) {
+			check(r, nowMillis);
+		}
+		this.owners.values().removeIf((o) -> !o.linked && forgotten(o, nowMillis));
+		probe();
+		if (!this.looking && nowMillis >= this.lookAgainMillis) {
+			look(nowMillis);
+		}
+		if (!this.runs.isEmpty() && silent(nowMillis)
+				&& nowMillis - this.lastRenewalMillis > LeaseTimes.ENDPOINT_LAPSE_MILLIS) {
+			loseAll("endpoint_silent", nowMillis);
+		}
+	}
+
+	private boolean forgotten(Owner o, long nowMillis) {
+		return nowMillis - o.leaseUntilMillis > 60_000 && this.runs.values().stream().noneMatch((r) -> r.owner == o);
+	}
+
+	private void check(SupervisedRun r, long nowMillis) {
+		if (r.phase == Phase.STOPPING) {
+			if (r.stopConfirmedMillis == 0 && nowMillis - r.stopSentMillis >= STOP_RETRY_MILLIS) {
+				sendStop(r, nowMillis);
+			}
+			return;
+		}
+		if (!r.owner.leased(nowMillis)) {
+			stop(r, nowMillis, "lease_lapsed");
+		}
+		else if (r.phase == Phase.RUNNING && stalled(r, nowMillis)) {
+			this.health.stalled(r, nowMillis);
+			stop(r, nowMillis, "stalled_at_percent_" + r.percent);
+		}
+	}
+
+	private boolean stalled(SupervisedRun r, long nowMillis) {
+		double patience = STALL_MILLIS + STALL_FACTOR * r.expectedMillis / Math.min(1, this.health.speed());
+		return nowMillis - r.progressMillis > patience;
+	}
+
+	// Status
+
+	/**
+	 * Stop taking runs, since the agent is about to end.
+	 */
+	public void drain() {
+		this.draining = true;
+		statusChanged();
+	}
+
+	/**
+	 * Tell whether nothing runs.
+	 * @return whether no run may be present
+	 */
+	public boolean idle() {
+		return this.runs.isEmpty();
+	}
+
+	private boolean silent(long nowMillis) {
+		return !this.looked || nowMillis - this.lastAnswerMillis > SILENT_MILLIS;
+	}
+
+	private EndpointState state(long nowMillis) {
+		if (this.endpoint == null || silent(nowMillis) || !this.strays.isEmpty()) {
+			return EndpointState.SILENT;
+		}
+		if (this.draining || this.endpoint.draining()) {
+			return EndpointState.DRAINING;
+		}
+		return this.health.aside(nowMillis) ? EndpointState.SUSPECT : EndpointState.READY;
+	}
+
+	private Room free() {
+		Room free = this.endpoint.capacity();
+		for (SupervisedRun r : this.runs.values()) {
+			free = free.minus(r.room);
+		}
+		return free;
+	}
+
+	/**
+	 * Describe the endpoint to an entry.
+	 * @param lastStartSequence the last start of that entry
+	 * @param nowMillis the time
+	 * @return the status
+	 */
+	public EndpointStatus status(long lastStartSequence, long nowMillis) {
+		if (this.endpoint == null) {
+			return new EndpointStatus("", "", EndpointState.SILENT, Room.NONE, Room.NONE, List.of(), 1,
+					lastStartSequence);
+		}
+		return new EndpointStatus(this.endpoint.endpointId(), this.endpoint.service(), state(nowMillis),
+				this.endpoint.capacity(), free(), this.endpoint.labels(), this.health.speed(), lastStartSequence);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -0,0 +1,169 @@
+package org.baobabspar.node;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.baobabspar.daemon.Control;
+import org.baobabspar.message.EntryWelcome;
+import org.baobabspar.message.LeaseGrant;
+import org.baobabspar.message.Message;
+import org.baobabspar.message.RunStart;
+import org.baobabspar.message.RunStop;
+import org.baobabspar.supervise.EndpointDriver;
+import org.baobabspar.supervise.RunSupervisor;
+import org.baobabspar.wire.LinkHandler;
+import org.baobabspar.wire.Links;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * An agent: links to all entries and a supervisor of the endpoint beside it. A link that
+ * brings no grants is opened anew, since a connection may go silent without an end.
+ * <p>
+ * Invariant: all calls of the supervisor are made on the control thread. Methods may be
+ * called from any thread.
+ */
+public final class AgentNode implements LinkHandler {
+
+	private static final Logger LOG = LogManager.getLogger(AgentNode.class);
+
+	private static final long TICK_MILLIS = 20;
+
+	/** Three requests without a grant; the entry's lease lasts little longer. */
+	private static final long SILENT_LINK_MILLIS = 300;
+
+	private final Control control = new Control("control");
+
+	private final LifeClock clock;
+
+	private final Links links;
+
+	private final RunSupervisor supervisor;
+
+	private final Map<String, Long> heardMillis = new HashMap<>();
+
+	private volatile boolean idle = true;
+
+	/**
+	 * Create an agent.
+	 * @param name its name
+	 * @param domain its failure domain
+	 * @param clock its clock
+	 * @param loops event loops for traffic
+	 * @param driver creates the client of the endpoint, given this agent
+	 */
+	public AgentNode(String name, String domain, LifeClock clock, LoopResources loops,
+			Function<AgentNode, EndpointDriver> driver) {
+		this.clock = clock;
+		this.links = new Links(this.control.scheduler(), loops, this);
+		long incarnation = System.currentTimeMillis();
+		this.supervisor = new RunSupervisor(name, incarnation, domain, incarnation, driver.apply(this),
+				this.links::send, (line) -> LOG.info("agent: {}", line));
+		LOG.info("agent: start name={} incarnation={}", name, incarnation);
+	}
+
+	/** Start working. */
+	public void start() {
+		this.control.every(TICK_MILLIS, () -> update(RunSupervisor::tick));
+	}
+
+	/**
+	 * Keep a link to each of these entries.
+	 * @param addresses their addresses
+	 */
+	public void dial(Collection<String> addresses) {
+		addresses.forEach(this.links::dial);
+	}
+
+	/**
+	 * Let the supervisor take something in, on the control thread.
+	 * @param event given the supervisor and the time
+	 */
+	public void update(Update event) {
+		this.control.run(() -> {
+			long now = this.clock.now();
+			event.apply(this.supervisor, now);
+			closeSilent(now);
+			this.supervisor.flush(now);
+			this.idle = this.supervisor.idle();
+		});
+	}
+
+	private void closeSilent(long now) {
+		this.heardMillis.forEach((link, heard) -> {
+			if (now - heard > SILENT_LINK_MILLIS) {
+				this.heardMillis.put(link, now);
+				LOG.info("agent: link={} state=silent silent_ms={}", link, now - heard);
+				this.links.close(link);
+			}
+		});
+	}
+
+	/** Take no more runs, since the process is about to end. */
+	public void drain() {
+		LOG.info("agent: draining");
+		update((s, now) -> s.drain());
+	}
+
+	public boolean idle() {
+		return this.idle;
+	}
+
+	public long now() {
+		return this.clock.now();
+	}
+
+	@Override
+	public void up(String link) {
+		this.heardMillis.put(link, this.clock.now());
+	}
+
+	@Override
+	public void message(String link, Message m) {
+		long now = this.clock.now();
+		this.heardMillis.put(link, now);
+		if (m instanceof RunStart r) {
+			this.supervisor.start(link, r, now);
+		}
+		else if (m instanceof LeaseGrant g) {
+			this.supervisor.granted(link, g);
+		}
+		else if (m instanceof RunStop r) {
+			this.supervisor.stop(link, r.run(), now);
+		}
+		else if (m instanceof EntryWelcome w) {
+			dial(w.entries());
+			this.supervisor.welcomed(link, w, now);
+		}
+		else {
+			LOG.warn("agent: ignored message={} link={}", m.getClass().getSimpleName(), link);
+		}
+		this.supervisor.flush(now);
+		this.idle = this.supervisor.idle();
+	}
+
+	@Override
+	public void down(String link, boolean refused) {
+		this.heardMillis.remove(link);
+		this.supervisor.unlinked(link);
+	}
+
+	/**
+	 * Something that the supervisor takes in.
+	 */
+	@FunctionalInterface
+	public interface Update {
+
+		/**
+		 * Take it in.
+		 * @param s the supervisor
+		 * @param nowMillis the time
+		 */
+		void apply(RunSupervisor s, long nowMillis);
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -0,0 +1,298 @@
+package org.baobabspar.node;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.baobabspar.daemon.Control;
+import org.baobabspar.dispatch.DispatchOutbox;
+import org.baobabspar.dispatch.Dispatcher;
+import org.baobabspar.dispatch.JobReply;
+import org.baobabspar.fleet.JobOrder;
+import org.baobabspar.fleet.Route;
+import org.baobabspar.fleet.RoutingTable;
+import org.baobabspar.message.EntryWelcome;
+import org.baobabspar.message.LeaseRequest;
+import org.baobabspar.message.Message;
+import org.baobabspar.message.RunEnded;
+import org.baobabspar.message.SupervisorHello;
+import org.baobabspar.wire.LinkHandler;
+import org.baobabspar.wire.Links;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * An entry: links to agents, a dispatcher on the control thread and the routing table in
+ * force.
+ * <p>
+ * Invariants: the version of the table never falls; all calls of the dispatcher are made
+ * on the control thread. Methods may be called from any thread.
+ */
+public final class EntryNode implements LinkHandler, DispatchOutbox {
+
+	private static final Logger LOG = LogManager.getLogger(EntryNode.class);
+
+	private static final long TICK_MILLIS = 10;
+
+	/**
+	 * Callers may have given this process up, and leases of its runs have lapsed, after a
+	 * pause of this length.
+	 */
+	private static final long STALL_MILLIS = 400;
+
+	private final String name;
+
+	private final long incarnation = System.currentTimeMillis();
+
+	private final LifeClock clock;
+
+	private final Control control;
+
+	private final Links links;
+
+	private final Dispatcher dispatcher;
+
+	private final NodeMetrics metrics;
+
+	private final AtomicReference<RoutingTable> table = new AtomicReference<>();
+
+	private final Collection<String> entries = new ConcurrentSkipListSet<>();
+
+	private long lastTickMillis;
+
+	private boolean placeDue;
+
+	private volatile boolean servable;
+
+	private volatile boolean draining;
+
+	private volatile long open;
+
+	/**
+	 * Create an entry.
+	 * @param name its name
+	 * @param domain its failure domain
+	 * @param clock its clock
+	 * @param loops event loops for traffic
+	 * @param metrics its metrics
+	 */
+	public EntryNode(String name, String domain, LifeClock clock, LoopResources loops, NodeMetrics metrics) {
+		this.name = name;
+		this.clock = clock;
+		this.metrics = metrics;
+		this.control = new Control("control");
+		this.links = new Links(this.control.scheduler(), loops, this);
+		this.dispatcher = new Dispatcher(domain, this);
+		this.lastTickMillis = clock.now();
+	}
+
+	/**
+	 * Listen for agents and start working.
+	 * @param host the local address
+	 * @param port the port
+	 */
+	public void start(String host, int port) {
+		this.entries.add(host + ":" + this.links.listen(host, port));
+		this.control.every(TICK_MILLIS, this::tick);
+		LOG.info("entry: start name={} incarnation={} links={}:{}", this.name, this.incarnation, host, port);
+	}
+
+	private void tick() {
+		long now = this.clock.now();
+		noticeStall(now);
+		this.dispatcher.tick(now);
+		boolean can = this.dispatcher.servable(now);
+		if (can != this.servable) {
+			LOG.info("entry: servable={}", can);
+			this.servable = can;
+		}
+		this.open = this.dispatcher.open();
+	}
+
+	private void noticeStall(long now) {
+		long gap = now - this.lastTickMillis;
+		this.lastTickMillis = now;
+		if (gap > STALL_MILLIS) {
+			this.dispatcher.stalled(gap, now);
+		}
+	}
+
+	private long enter() {
+		long now = this.clock.now();
+		if (now - this.lastTickMillis > STALL_MILLIS) {
+			noticeStall(now);
+		}
+		return now;
+	}
+
+	private void placeSoon() {
+		if (!this.placeDue) {
+			this.placeDue = true;
+			this.control.run(this::place);
+		}
+	}
+
+	private void place() {
+		this.placeDue = false;
+		this.dispatcher.place(enter());
+	}
+
+	// Callers
+
+	/**
+	 * Find the route of a request.
+	 * @param host the host that the caller named
+	 * @param path the path
+	 * @return the route, if there is a table and it has one
+	 */
+	public Optional<Route> route(String host, String path) {
+		return table().flatMap((t) -> t.find(host, path));
+	}
+
+	/**
+	 * Return the routing table in force.
+	 * @return the table, empty before the first is known
+	 */
+	public Optional<RoutingTable> table() {
+		return Optional.ofNullable(this.table.get());
+	}
+
+	/**
+	 * Put a routing table in force unless a newer one is.
+	 * @param t the table
+	 * @param source where it came from
+	 */
+	public void adopt(RoutingTable t, String source) {
+		RoutingTable before = this.table.getAndUpdate((o) -> (o == null || t.version() > o.version()) ? t : o);
+		if (before == null || t.version() > before.version()) {
+			LOG.info("entry: routing version={} routes={} source={} before={}", t.version(), t.routes().size(), source,
+					(before != null) ? before.version() : 0);
+		}
+	}
+
+	/**
+	 * Submit a job. Cancelling the subscription abandons it.
+	 * @param order the job
+	 * @param route its route
+	 * @param timeoutMillis how long the caller waits
+	 * @return its answer
+	 */
+	public Mono<JobReply> submit(JobOrder order, Route route, long timeoutMillis) {
+		return Mono.create((sink) -> {
+			Consumer<JobReply> caller = sink::success;
+			sink.onCancel(() -> this.control.run(() -> this.dispatcher.abandon(order.id(), caller, enter())));
+			this.control.run(() -> {
+				this.dispatcher.submit(order, route, timeoutMillis, caller, enter());
+				placeSoon();
+			});
+		});
+	}
+
+	/**
+	 * Cancel a job.
+	 * @param id the job
+	 * @return whether it was known
+	 */
+	public Mono<Boolean> cancel(String id) {
+		return this.control.call(() -> this.dispatcher.cancel(id, enter()));
+	}
+
+	/**
+	 * Count the jobs of a route that wait.
+	 * @param route the route
+	 * @return how many
+	 */
+	public Mono<Long> pending(String route) {
+		return this.control.call(() -> this.dispatcher.pending(route));
+	}
+
+	/**
+	 * Tell whether new connections are welcome.
+	 * @return whether jobs can be served here
+	 */
+	public boolean ready() {
+		return this.servable && !this.draining && this.table.get() != null;
+	}
+
+	/** Ask for no new connections, since the process is about to end. */
+	public void drain() {
+		this.draining = true;
+		LOG.info("entry: draining jobs={}", this.open);
+	}
+
+	public boolean draining() {
+		return this.draining;
+	}
+
+	/**
+	 * Count the jobs whose callers wait.
+	 * @return how many, as of the last tick
+	 */
+	public long open() {
+		return this.open;
+	}
+
+	// Agents
+
+	@Override
+	public void up(String link) {
+		this.links.send(link, new EntryWelcome(this.name, this.incarnation, List.copyOf(this.entries)));
+	}
+
+	@Override
+	public void message(String link, Message m) {
+		long now = enter();
+		if (m instanceof LeaseRequest r) {
+			this.dispatcher.request(link, r, now);
+		}
+		else if (m instanceof RunEnded e) {
+			this.dispatcher.ended(link, e, now);
+		}
+		else if (m instanceof SupervisorHello h) {
+			this.dispatcher.hello(link, h, now);
+		}
+		else {
+			LOG.warn("entry: ignored message={} link={}", m.getClass().getSimpleName(), link);
+		}
+		placeSoon();
+	}
+
+	@Override
+	public void down(String link, boolean refused) {
+		this.dispatcher.unlinked(link);
+	}
+
+	@Override
+	public void send(String link, Message m) {
+		this.links.send(link, m);
+	}
+
+	@Override
+	public void close(String link) {
+		this.links.close(link);
+	}
+
+	@Override
+	public void log(String line) {
+		LOG.info("dispatch: {}", line);
+	}
+
+	@Override
+	public void ended(String route, JobReply reply, long millis) {
+		this.metrics.ended(route, reply, millis);
+	}
+
+	/**
+	 * Add addresses of entries, which agents are told.
+	 * @param addresses the addresses
+	 */
+	public void addEntries(Collection<String> addresses) {
+		this.entries.addAll(addresses);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabspar/node/NodeMetrics.java
@@ -0,0 +1,70 @@
+package org.baobabspar.node;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.baobabspar.dispatch.JobReply;
+
+/**
+ * Counters and histograms of a process. Safe for any thread.
+ */
+public final class NodeMetrics {
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final Counter jobs = Counter.builder()
+		.name("baobabspar_jobs_total")
+		.help("Jobs by route and outcome")
+		.labelNames("route", "outcome")
+		.register(this.registry);
+
+	private final Histogram seconds = Histogram.builder()
+		.name("baobabspar_job_seconds")
+		.help("Time from submission to answer")
+		.classicUpperBounds(0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 3, 5, 10)
+		.classicOnly()
+		.labelNames("route", "outcome")
+		.register(this.registry);
+
+	private final Counter events = Counter.builder()
+		.name("baobabspar_events_total")
+		.help("Decisions by kind")
+		.labelNames("kind")
+		.register(this.registry);
+
+	void ended(String route, JobReply reply, long millis) {
+		this.jobs.labelValues(route, reply.outcome().name()).inc();
+		this.seconds.labelValues(route, reply.outcome().name()).observe(millis / MILLIS_PER_SECOND);
+	}
+
+	/**
+	 * Count a decision.
+	 * @param kind its kind
+	 */
+	public void event(String kind) {
+		this.events.labelValues(kind).inc();
+	}
+
+	/**
+	 * Write everything as text.
+	 * @return the page
+	 */
+	public byte[] page() {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		try {
+			PrometheusTextFormatWriter.create().write(out, this.registry.scrape());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return out.toByteArray();
+	}
+
+}
--- a/wire/src/main/java/org/baobabspar/wire/Links.java
+++ b/wire/src/main/java/org/baobabspar/wire/Links.java
@@ -251,7 +251,11 @@
 		c.writeAndFlush(Unpooled.wrappedBuffer(length, Unpooled.wrappedBuffer(frame)), c.voidPromise());
 	}
 
-	private void close(String link) {
+	/**
+	 * Close a link. One that was dialled is opened again.
+	 * @param link the link
+	 */
+	public void close(String link) {
 		Channel c = this.channels.get(link);
 		if (c != null) {
 			c.close();
