--- /dev/null
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
@@ -0,0 +1,325 @@
+package org.baobabspar.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import org.baobabspar.fleet.EndpointState;
+import org.baobabspar.fleet.EndpointStatus;
+import org.baobabspar.fleet.JobOrder;
+import org.baobabspar.fleet.Room;
+import org.baobabspar.fleet.Route;
+import org.baobabspar.fleet.RunEnd;
+import org.baobabspar.fleet.RunKey;
+import org.baobabspar.fleet.Step;
+import org.baobabspar.message.LeaseRequest;
+import org.baobabspar.message.Message;
+import org.baobabspar.message.RunEnded;
+import org.baobabspar.message.RunStart;
+import org.baobabspar.message.RunStop;
+import org.baobabspar.message.SupervisorHello;
+import org.baobabspar.supervise.LeaseTimes;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests of {@link Dispatcher} with agents played by the test.
+ */
+public class DispatcherTests {
+
+	private static final Room CORE = new Room(1_000, 64, 0);
+
+	private static final Route ROUTE = new Route("route", "host", "/p/", "service", 0, 2, 1.6, 60, "");
+
+	long nowMillis;
+
+	Map<String, List<Message>> sent;
+
+	Map<String, Long> ends;
+
+	List<JobReply> replies;
+
+	Dispatcher dispatcher;
+
+	@BeforeMethod
+	void create() {
+		this.nowMillis = 50_000;
+		this.sent = new TreeMap<>();
+		this.ends = new TreeMap<>();
+		this.replies = new ArrayList<>();
+		this.dispatcher = new Dispatcher("domain-1", new DispatchOutbox() {
+
+			@Override
+			public void send(String link, Message m) {
+				DispatcherTests.this.sent.computeIfAbsent(link, (l) -> new ArrayList<>()).add(m);
+			}
+
+			@Override
+			public void close(String link) {
+			}
+
+			@Override
+			public void log(String line) {
+			}
+
+			@Override
+			public void ended(String route, JobReply reply, long millis) {
+			}
+
+		});
+	}
+
+	static EndpointStatus status(String name, int free, double speed, long sequence) {
+		return new EndpointStatus("endpoint-" + name, "service", EndpointState.READY, CORE.times(8), CORE.times(free),
+				List.of(), speed, sequence);
+	}
+
+	void agent(String name, int free, double speed) {
+		this.dispatcher.hello(name, new SupervisorHello(name, 1, "domain-1", status(name, free, speed, 0), List.of()),
+				this.nowMillis);
+		this.dispatcher.request(name, new LeaseRequest(this.nowMillis, status(name, free, speed, 0)), this.nowMillis);
+	}
+
+	static JobOrder job(String id, int tasks, long millis) {
+		return new JobOrder(id, "payload", List.of(new Step(tasks, CORE, millis, List.of(), "", "", 0)));
+	}
+
+	Consumer<JobReply> submit(JobOrder order) {
+		Consumer<JobReply> caller = this.replies::add;
+		this.dispatcher.submit(order, ROUTE, 10_000, caller, this.nowMillis);
+		this.dispatcher.place(this.nowMillis);
+		return caller;
+	}
+
+	List<RunKey> starts(String agent) {
+		return this.sent.getOrDefault(agent, List.of())
+			.stream()
+			.filter(RunStart.class::isInstance)
+			.map((m) -> ((RunStart) m).run())
+			.toList();
+	}
+
+	long stops(String agent) {
+		return this.sent.getOrDefault(agent, List.of()).stream().filter(RunStop.class::isInstance).count();
+	}
+
+	void end(String agent, RunKey run, RunEnd end) {
+		long sequence = this.ends.merge(agent, 1L, Long::sum);
+		this.dispatcher.ended(agent, new RunEnded(sequence, run, end, 100), this.nowMillis);
+		this.dispatcher.place(this.nowMillis);
+	}
+
+	List<JobOutcome> outcomes() {
+		return this.replies.stream().map(JobReply::outcome).toList();
+	}
+
+	/**
+	 * Answers.
+	 */
+	public static class Answers extends DispatcherTests {
+
+		@Test
+		void completedWithTheLastTask() {
+			agent("a", 8, 1);
+			submit(job("j", 2, 100));
+			List<RunKey> runs = starts("a");
+			end("a", runs.get(0), RunEnd.DONE);
+			assertTrue(this.replies.isEmpty());
+			end("a", runs.get(1), RunEnd.DONE);
+			assertEquals(outcomes(), List.of(JobOutcome.COMPLETED));
+		}
+
+		@Test
+		void failedWhenATaskHasFailedAsOftenAsTheRouteAllows() {
+			agent("a", 8, 1);
+			agent("b", 8, 1);
+			submit(job("j", 1, 100));
+			String first = starts("a").isEmpty() ? "b" : "a";
+			String second = first.equals("a") ? "b" : "a";
+			end(first, starts(first).get(0), RunEnd.FAILED);
+			assertEquals(starts(second).get(0).number(), 2);
+			end(second, starts(second).get(0), RunEnd.FAILED);
+			assertEquals(outcomes(), List.of(JobOutcome.FAILED));
+		}
+
+		@Test
+		void theSameForACallerThatAsksAgain() {
+			agent("a", 8, 1);
+			submit(job("j", 1, 100));
+			end("a", starts("a").get(0), RunEnd.DONE);
+			submit(job("j", 1, 100));
+			assertEquals(outcomes(), List.of(JobOutcome.COMPLETED, JobOutcome.COMPLETED));
+			assertEquals(starts("a").size(), 1);
+		}
+
+		@Test
+		void refusedAtOnceWithoutEndpoints() {
+			submit(job("j", 1, 100));
+			assertEquals(outcomes(), List.of(JobOutcome.REFUSED));
+		}
+
+		@Test
+		void refusedAtOnceIfNoEndpointIsLargeEnough() {
+			agent("a", 8, 1);
+			this.dispatcher.submit(
+					new JobOrder("j", "", List.of(new Step(1, CORE.times(9), 100, List.of(), "", "", 0))), ROUTE,
+					10_000, this.replies::add, this.nowMillis);
+			assertEquals(outcomes(), List.of(JobOutcome.REFUSED));
+		}
+
+		@Test
+		void neverRefusedOnceATaskMayHaveBegun() {
+			agent("a", 8, 1);
+			submit(job("j", 1, 100));
+			this.dispatcher.stalled(1_000, this.nowMillis);
+			assertEquals(outcomes(), List.of(JobOutcome.UNKNOWN));
+			assertEquals(stops("a"), 1);
+		}
+
+	}
+
+	/**
+	 * Runs that end otherwise than done.
+	 */
+	public static class Repeats extends DispatcherTests {
+
+		@Test
+		void aLostRunIsOrderedAgainOnlyWhenBothLeasesHaveLapsed() {
+			agent("a", 8, 1);
+			submit(job("j", 1, 100));
+			this.dispatcher.unlinked("a");
+			this.nowMillis += LeaseTimes.LOSS_MILLIS;
+			agent("b", 8, 1);
+			this.dispatcher.tick(this.nowMillis);
+			assertTrue(starts("b").isEmpty());
+			this.nowMillis += 1;
+			this.dispatcher.tick(this.nowMillis);
+			assertEquals(starts("b").get(0).number(), 2);
+		}
+
+		@Test
+		void anOrderThatTheAgentNeverGotIsRepeatedOnANewLink() {
+			agent("a", 8, 1);
+			submit(job("j", 1, 100));
+			this.dispatcher.unlinked("a");
+			agent("a", 8, 1);
+			this.dispatcher.place(this.nowMillis);
+			assertEquals(starts("a").size(), 2);
+		}
+
+		@Test
+		void aRunThatTheAgentListsOnANewLinkIsKept() {
+			agent("a", 8, 1);
+			submit(job("j", 1, 100));
+			RunKey run = starts("a").get(0);
+			this.dispatcher.unlinked("a");
+			this.dispatcher.hello("a", new SupervisorHello("a", 1, "domain-1", status("a", 7, 1, 0), List.of(run)),
+					this.nowMillis);
+			this.dispatcher.request("a", new LeaseRequest(this.nowMillis, status("a", 7, 1, 0)), this.nowMillis);
+			this.dispatcher.place(this.nowMillis);
+			assertEquals(starts("a").size(), 1);
+			end("a", run, RunEnd.DONE);
+			assertEquals(outcomes(), List.of(JobOutcome.COMPLETED));
+		}
+
+		@Test
+		void aUsedNumberIsFollowedByAHigherOne() {
+			agent("a", 8, 1);
+			submit(job("j", 1, 100));
+			end("a", starts("a").get(0), RunEnd.NUMBER_USED);
+			assertEquals(starts("a").get(1).number(), 2);
+		}
+
+	}
+
+	/**
+	 * Callers who go.
+	 */
+	public static class GoneCallers extends DispatcherTests {
+
+		@Test
+		void endTheirRuns() {
+			agent("a", 8, 1);
+			Consumer<JobReply> caller = submit(job("j", 3, 100));
+			this.dispatcher.abandon("j", caller, this.nowMillis);
+			assertEquals(stops("a"), 3);
+		}
+
+		@Test
+		void whoComeBackWaitForTheirOldRuns() {
+			agent("a", 8, 1);
+			Consumer<JobReply> caller = submit(job("j", 1, 100));
+			this.dispatcher.abandon("j", caller, this.nowMillis);
+			submit(job("j", 1, 100));
+			assertEquals(starts("a").size(), 1);
+			end("a", starts("a").get(0), RunEnd.STOPPED);
+			assertEquals(starts("a").get(1).number(), 2);
+		}
+
+	}
+
+	/**
+	 * Choice of endpoints.
+	 */
+	public static class Placing extends DispatcherTests {
+
+		@Test
+		void shortTasksTakeSlowEndpointsAndLongOnesFastOnes() {
+			agent("slow", 8, 0.6);
+			agent("fast", 8, 1.6);
+			submit(job("short", 1, 80));
+			assertEquals(starts("slow").size(), 1);
+			this.dispatcher.submit(job("long", 1, 9_000),
+					new Route("other", "host", "/q/", "service", 0, 2, 1.6, 60, ""), 30_000, this.replies::add,
+					this.nowMillis);
+			this.dispatcher.place(this.nowMillis);
+			assertEquals(starts("fast").size(), 1);
+		}
+
+		@Test
+		void tasksOfAJobStartTogetherOrNotAtAll() {
+			for (int i = 0; i < 6; i++) {
+				agent("full-" + i, 0, 1);
+			}
+			agent("a", 2, 1);
+			submit(job("j", 3, 100));
+			assertTrue(starts("a").isEmpty());
+			agent("b", 1, 1);
+			this.dispatcher.place(this.nowMillis);
+			assertEquals(starts("a").size() + starts("b").size(), 3);
+		}
+
+		@Test
+		void ownOrdersCountBeforeTheAgentHasSeenThem() {
+			agent("a", 2, 1);
+			submit(job("j", 2, 100));
+			submit(job("k", 1, 100));
+			assertEquals(starts("a").size(), 2);
+		}
+
+		@Test
+		void aQuietAgentGetsNothing() {
+			agent("a", 8, 1);
+			this.nowMillis += AgentView.QUIET_MILLIS;
+			submit(job("j", 1, 100));
+			assertEquals(outcomes(), List.of(JobOutcome.REFUSED));
+		}
+
+		@Test
+		void stepsWaitForThoseTheyDependOn() {
+			agent("a", 8, 1);
+			submit(new JobOrder("j", "", List.of(new Step(1, CORE, 100, List.of(), "", "", 0),
+					new Step(1, CORE, 100, List.of(0), "", "", 0))));
+			assertEquals(starts("a").size(), 1);
+			end("a", starts("a").get(0), RunEnd.DONE);
+			assertEquals(starts("a").get(1).task(), "j/1/0");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
@@ -0,0 +1,486 @@
+package org.baobabspar.supervise;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.baobabspar.fleet.EndpointState;
+import org.baobabspar.fleet.Room;
+import org.baobabspar.fleet.RunEnd;
+import org.baobabspar.fleet.RunKey;
+import org.baobabspar.message.EntryWelcome;
+import org.baobabspar.message.LeaseGrant;
+import org.baobabspar.message.LeaseRequest;
+import org.baobabspar.message.Message;
+import org.baobabspar.message.RunEnded;
+import org.baobabspar.message.RunStart;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests of {@link RunSupervisor} with a clock and an endpoint under control.
+ */
+public class RunSupervisorTests {
+
+	private static final String LINK = "entry-1";
+
+	private static final Room CORE = new Room(1_000, 64, 0);
+
+	long nowMillis;
+
+	RecordingDriver driver;
+
+	List<Message> sent;
+
+	RunSupervisor supervisor;
+
+	long sequence;
+
+	@BeforeMethod
+	void create() {
+		this.nowMillis = 10_000;
+		this.driver = new RecordingDriver();
+		this.sent = new ArrayList<>();
+		this.sequence = 0;
+		this.supervisor = new RunSupervisor("agent-1", 1, "domain-1", 100, this.driver, (link, m) -> this.sent.add(m),
+				(line) -> {
+				});
+	}
+
+	void attach(long born) {
+		this.supervisor.report(new EndpointReport("endpoint-1", born, 1, "service", CORE.times(4), List.of(), false),
+				this.nowMillis);
+		observe(born, List.of(), List.of());
+	}
+
+	void link() {
+		this.supervisor.welcomed(LINK, new EntryWelcome("entry-1", 7, List.of()), this.nowMillis);
+		grant();
+	}
+
+	void grant() {
+		this.supervisor.granted(LINK, new LeaseGrant(this.nowMillis, 0));
+	}
+
+	RunKey order(String task) {
+		RunKey run = new RunKey("job", task, 1);
+		this.supervisor.start(LINK, new RunStart(++this.sequence, run, "payload", CORE, 100, this.nowMillis),
+				this.nowMillis);
+		return run;
+	}
+
+	RunKey running(String task) {
+		RunKey run = order(task);
+		this.supervisor.startAnswered(run, StartAnswer.STARTED, this.nowMillis);
+		return run;
+	}
+
+	void observe(long born, List<PresentRun> present, List<EndedRun> ended) {
+		this.supervisor.observed(new Observation(this.nowMillis, born, present, ended), this.nowMillis);
+	}
+
+	void pass(long millis) {
+		this.nowMillis += millis;
+		this.supervisor.tick(this.nowMillis);
+	}
+
+	List<RunEnd> ends() {
+		return this.sent.stream().filter(RunEnded.class::isInstance).map((m) -> ((RunEnded) m).end()).toList();
+	}
+
+	EndpointState state() {
+		return this.supervisor.status(0, this.nowMillis).state();
+	}
+
+	static final class RecordingDriver implements EndpointDriver {
+
+		private final List<RunKey> starts = new ArrayList<>();
+
+		private final List<String> stops = new ArrayList<>();
+
+		private long lastLease = -1;
+
+		private long lastFence;
+
+		private int probes;
+
+		@Override
+		public void attach(EndpointReport report) {
+		}
+
+		@Override
+		public void start(RunKey run, String payload, long leaseMillis, long fence) {
+			this.starts.add(run);
+			this.lastFence = fence;
+		}
+
+		@Override
+		public void stop(String task, long number, long fence) {
+			this.stops.add(task + "#" + number);
+		}
+
+		@Override
+		public void look(long leaseMillis, long confirmed, long waitMillis, long fence) {
+			this.lastLease = leaseMillis;
+			this.lastFence = fence;
+		}
+
+		@Override
+		public void probe(long confirmed, long fence) {
+			this.probes++;
+		}
+
+	}
+
+	/**
+	 * Starts.
+	 */
+	public static class Starts extends RunSupervisorTests {
+
+		@Test
+		void startsWhileTheLeaseHolds() {
+			attach(1);
+			link();
+			order("t1");
+			assertEquals(this.driver.starts.size(), 1);
+		}
+
+		@Test
+		void refusesWithoutALease() {
+			attach(1);
+			link();
+			pass(LeaseTimes.ENTRY_LEASE_MILLIS + 1);
+			observe(1, List.of(), List.of());
+			order("t1");
+			assertTrue(this.driver.starts.isEmpty());
+			assertEquals(ends(), List.of(RunEnd.REFUSED));
+		}
+
+		@Test
+		void refusesAStartThatWasHeldUp() {
+			attach(1);
+			link();
+			RunStart late = new RunStart(1, new RunKey("job", "t1", 1), "payload", CORE, 100,
+					this.nowMillis - LeaseTimes.ENTRY_LEASE_MILLIS - 1);
+			this.supervisor.start(LINK, late, this.nowMillis);
+			assertTrue(this.driver.starts.isEmpty());
+		}
+
+		@Test
+		void refusesWhatDoesNotFit() {
+			attach(1);
+			link();
+			for (int i = 0; i < 5; i++) {
+				order("t" + i);
+			}
+			assertEquals(this.driver.starts.size(), 4);
+			assertEquals(ends(), List.of(RunEnd.REFUSED));
+		}
+
+		@Test
+		void refusesAJobThatAnotherEntryHasHere() {
+			attach(1);
+			link();
+			running("t1");
+			this.supervisor.welcomed("entry-2", new EntryWelcome("entry-2", 8, List.of()), this.nowMillis);
+			this.supervisor.granted("entry-2", new LeaseGrant(this.nowMillis, 0));
+			this.supervisor.start("entry-2",
+					new RunStart(1, new RunKey("job", "t2", 1), "payload", CORE, 100, this.nowMillis), this.nowMillis);
+			assertEquals(this.driver.starts.size(), 1);
+		}
+
+		@Test
+		void startsNothingOnADrainingEndpoint() {
+			attach(1);
+			link();
+			this.supervisor.report(new EndpointReport("endpoint-1", 1, 2, "service", CORE.times(4), List.of(), true),
+					this.nowMillis);
+			order("t1");
+			assertTrue(this.driver.starts.isEmpty());
+		}
+
+	}
+
+	/**
+	 * Room.
+	 */
+	public static class Rooms extends RunSupervisorTests {
+
+		@Test
+		void isTakenUntilTheEndIsListed() {
+			attach(1);
+			link();
+			RunKey run = running("t1");
+			this.supervisor.stop(LINK, run, this.nowMillis);
+			this.supervisor.stopConfirmed("t1", 1, this.nowMillis);
+			assertEquals(this.supervisor.status(0, this.nowMillis).free(), CORE.times(3));
+			observe(1, List.of(), List.of(new EndedRun(1, "t1", 1, RunEnd.STOPPED)));
+			assertEquals(this.supervisor.status(0, this.nowMillis).free(), CORE.times(4));
+		}
+
+		@Test
+		void isUnknownWhileUnknownRunsArePresent() {
+			this.supervisor.report(new EndpointReport("endpoint-1", 1, 1, "service", CORE.times(4), List.of(), false),
+					this.nowMillis);
+			observe(1, List.of(new PresentRun("old", 3, 0)), List.of());
+			assertEquals(state(), EndpointState.SILENT);
+			assertEquals(this.driver.stops, List.of("old#3"));
+			observe(1, List.of(), List.of());
+			assertEquals(state(), EndpointState.READY);
+		}
+
+	}
+
+	/**
+	 * Starts without an answer, which may be carried out seconds later.
+	 */
+	public static class UnansweredStarts extends RunSupervisorTests {
+
+		@Test
+		void goOnIfTheEndpointListsThem() {
+			attach(1);
+			link();
+			RunKey run = order("t1");
+			this.supervisor.startAnswered(run, StartAnswer.UNKNOWN, this.nowMillis);
+			assertEquals(this.driver.probes, 1);
+			this.supervisor.probed(
+					Optional.of(new Observation(this.nowMillis, 1, List.of(new PresentRun("t1", 1, 10)), List.of())),
+					this.nowMillis);
+			assertTrue(this.driver.stops.isEmpty());
+			assertTrue(ends().isEmpty());
+		}
+
+		@Test
+		void areStoppedBeforeTheyAreGivenBack() {
+			attach(1);
+			link();
+			RunKey run = order("t1");
+			this.supervisor.startAnswered(run, StartAnswer.UNKNOWN, this.nowMillis);
+			pass(10);
+			observe(1, List.of(), List.of());
+			assertEquals(this.driver.stops, List.of("t1#1"));
+			observe(1, List.of(), List.of());
+			assertTrue(ends().isEmpty());
+			pass(10);
+			this.supervisor.stopConfirmed("t1", 1, this.nowMillis);
+			pass(10);
+			observe(1, List.of(), List.of());
+			assertEquals(ends(), List.of(RunEnd.NUMBER_USED));
+		}
+
+		@Test
+		void areStoppedAgainIfTheStopGetsNoAnswer() {
+			attach(1);
+			link();
+			RunKey run = order("t1");
+			this.supervisor.startAnswered(run, StartAnswer.UNKNOWN, this.nowMillis);
+			observe(1, List.of(), List.of());
+			pass(100);
+			assertEquals(this.driver.stops, List.of("t1#1", "t1#1"));
+		}
+
+	}
+
+	/**
+	 * Leases.
+	 */
+	public static class Leases extends RunSupervisorTests {
+
+		@Test
+		void stopRunsOfAnEntryThatIsNotHeard() {
+			attach(1);
+			link();
+			running("t1");
+			pass(LeaseTimes.ENTRY_LEASE_MILLIS);
+			assertEquals(this.driver.stops, List.of("t1#1"));
+		}
+
+		@Test
+		void countFromTheRequestNotFromTheGrant() {
+			attach(1);
+			link();
+			running("t1");
+			long asked = this.nowMillis;
+			pass(LeaseTimes.ENTRY_LEASE_MILLIS - 10);
+			this.supervisor.granted(LINK, new LeaseGrant(asked, 0));
+			pass(10);
+			assertEquals(this.driver.stops, List.of("t1#1"));
+		}
+
+		@Test
+		void outliveABrokenLink() {
+			attach(1);
+			link();
+			running("t1");
+			this.supervisor.unlinked(LINK);
+			pass(100);
+			link();
+			pass(LeaseTimes.ENTRY_LEASE_MILLIS - 10);
+			assertTrue(this.driver.stops.isEmpty());
+		}
+
+		@Test
+		void areNotRenewedAtAnEndpointThatDoesNotAnswer() {
+			attach(1);
+			link();
+			running("t1");
+			observe(1, List.of(new PresentRun("t1", 1, 0)), List.of());
+			assertEquals(this.driver.lastLease, LeaseTimes.ENDPOINT_LEASE_MILLIS);
+			this.supervisor.lookFailed(this.nowMillis);
+			pass(30);
+			assertEquals(this.driver.lastLease, 0);
+		}
+
+		@Test
+		void endAllRunsAtASilentEndpointOnlyWhenTheyHaveLapsed() {
+			attach(1);
+			link();
+			running("t1");
+			long last = this.nowMillis;
+			while (this.nowMillis <= last + LeaseTimes.ENDPOINT_LAPSE_MILLIS) {
+				assertTrue(ends().isEmpty());
+				grant();
+				this.supervisor.lookFailed(this.nowMillis);
+				pass(20);
+			}
+			assertEquals(ends(), List.of(RunEnd.LOST));
+		}
+
+		@Test
+		void leaveTimeForBothBeforeAnEntryStartsElsewhere() {
+			assertTrue(LeaseTimes.LOSS_MILLIS > LeaseTimes.ENTRY_LEASE_MILLIS
+					+ LeaseTimes.ENDPOINT_LEASE_MILLIS * LeaseTimes.DRIFT + LeaseTimes.STOP_MILLIS);
+			assertTrue(LeaseTimes.LOSS_MILLIS < 1_300);
+		}
+
+	}
+
+	/**
+	 * Lifetimes of the endpoint.
+	 */
+	public static class Lifetimes extends RunSupervisorTests {
+
+		@Test
+		void aNewOneEndsAllRuns() {
+			attach(1);
+			link();
+			running("t1");
+			attach(2);
+			assertEquals(ends(), List.of(RunEnd.LOST));
+		}
+
+		@Test
+		void aLateReportOfAnOldOneIsIgnored() {
+			attach(2);
+			link();
+			running("t1");
+			this.supervisor.report(new EndpointReport("endpoint-1", 1, 99, "service", CORE, List.of(), false),
+					this.nowMillis);
+			assertTrue(ends().isEmpty());
+			assertEquals(this.supervisor.status(0, this.nowMillis).capacity(), CORE.times(4));
+		}
+
+		@Test
+		void aHigherFenceIsOvertaken() {
+			attach(1);
+			long before = this.driver.lastFence;
+			this.supervisor.fenced(this.nowMillis);
+			pass(30);
+			assertTrue(this.driver.lastFence > before);
+		}
+
+	}
+
+	/**
+	 * Ends.
+	 */
+	public static class Ends extends RunSupervisorTests {
+
+		@Test
+		void areSentAgainOnANewLinkUntilConfirmed() {
+			attach(1);
+			link();
+			running("t1");
+			this.supervisor.unlinked(LINK);
+			observe(1, List.of(), List.of(new EndedRun(1, "t1", 1, RunEnd.DONE)));
+			assertTrue(ends().isEmpty());
+			link();
+			assertEquals(ends(), List.of(RunEnd.DONE));
+			this.supervisor.granted(LINK, new LeaseGrant(this.nowMillis, 1));
+			this.supervisor.unlinked(LINK);
+			this.sent.clear();
+			link();
+			assertTrue(ends().isEmpty());
+		}
+
+		@Test
+		void comeOnceThoughTheEndpointListsThemTwice() {
+			attach(1);
+			link();
+			running("t1");
+			observe(1, List.of(), List.of(new EndedRun(1, "t1", 1, RunEnd.DONE)));
+			observe(1, List.of(), List.of(new EndedRun(1, "t1", 1, RunEnd.DONE)));
+			assertEquals(ends(), List.of(RunEnd.DONE));
+		}
+
+	}
+
+	/**
+	 * Endpoints whose runs fail or stand still.
+	 */
+	public static class BadEndpoints extends RunSupervisorTests {
+
+		@Test
+		void areSetAsideAfterFailuresOfTwoJobs() {
+			attach(1);
+			link();
+			for (int i = 1; i <= 2; i++) {
+				RunKey run = new RunKey("job" + i, "t" + i, 1);
+				this.supervisor.start(LINK, new RunStart(i, run, "", CORE, 100, this.nowMillis), this.nowMillis);
+				this.supervisor.startAnswered(run, StartAnswer.STARTED, this.nowMillis);
+				assertEquals(state(), EndpointState.READY);
+				observe(1, List.of(), List.of(new EndedRun(i, "t" + i, 1, RunEnd.FAILED)));
+			}
+			assertEquals(state(), EndpointState.SUSPECT);
+		}
+
+		@Test
+		void loseRunsThatMakeNoProgress() {
+			attach(1);
+			link();
+			running("t1");
+			for (int i = 0; i < 20; i++) {
+				observe(1, List.of(new PresentRun("t1", 1, 5)), List.of());
+				grant();
+				pass(50);
+			}
+			assertFalse(this.driver.stops.isEmpty());
+		}
+
+	}
+
+	/**
+	 * Messages.
+	 */
+	public static class Requests extends RunSupervisorTests {
+
+		@Test
+		void changesThatComeTogetherAreSentOnce() {
+			attach(1);
+			link();
+			this.supervisor.flush(this.nowMillis);
+			this.sent.clear();
+			order("t1");
+			order("t2");
+			this.supervisor.flush(this.nowMillis);
+			this.supervisor.flush(this.nowMillis);
+			assertEquals(this.sent.stream().filter(LeaseRequest.class::isInstance).count(), 1);
+		}
+
+	}
+
+}
