--- a/core/src/main/java/org/baobabspar/dispatch/AgentView.java
+++ b/core/src/main/java/org/baobabspar/dispatch/AgentView.java
@@ -44,7 +44,10 @@
 
 	long endsSeen;
 
-	/** Runs that the agent listed on a new link, until they are compared. */
+	/**
+	 * Runs that the agent listed on a new link, until they are compared; nothing is
+	 * ordered before that, since it would look like an order that was lost.
+	 */
 	Set<RunKey> listed;
 
 	private final Deque<SentRoom> sent = new ArrayDeque<>();
@@ -89,7 +92,7 @@
 	}
 
 	boolean usable(long nowMillis) {
-		return this.link != null && this.status.state() == EndpointState.READY
+		return this.link != null && this.listed == null && this.status.state() == EndpointState.READY
 				&& nowMillis - this.heardMillis < QUIET_MILLIS;
 	}
 
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -150,11 +150,25 @@
 		statusChanged();
 	}
 
+	/**
+	 * Take up another lifetime. One under the same id may have carried out orders that
+	 * were meant for the last, so its list tells which runs are gone; the higher fencing
+	 * token keeps out orders that are still under way.
+	 * @param r the lifetime
+	 * @param nowMillis the time
+	 */
 	private void attach(EndpointReport r, long nowMillis) {
 		this.log.accept("endpoint=" + r.endpointId() + " born=" + r.bornMillis() + " service=" + r.service()
 				+ " state=attached");
-		loseAll("new_lifetime", nowMillis);
+		if (this.endpoint != null && r.endpointId().equals(this.endpoint.endpointId())) {
+			this.runs.values().forEach((run) -> run.carryOver(nowMillis));
+		}
+		else {
+			loseAll("new_endpoint", nowMillis);
+		}
+		this.strays = new HashSet<>();
 		this.endpoint = r;
+		this.fence++;
 		this.looked = false;
 		this.answered = false;
 		this.confirmedEnds = 0;
@@ -481,7 +495,6 @@
 		for (SupervisedRun r : List.copyOf(this.runs.values())) {
 			finish(r, RunEnd.LOST, nowMillis);
 		}
-		this.strays = new HashSet<>();
 	}
 
 	// Entries
--- a/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
+++ b/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
@@ -74,6 +74,16 @@
 		}
 	}
 
+	/**
+	 * Take it that the endpoint has begun another lifetime: what was confirmed before
+	 * says nothing of it.
+	 * @param nowMillis the time
+	 */
+	void carryOver(long nowMillis) {
+		this.confirmedMillis = nowMillis;
+		this.stopConfirmedMillis = 0;
+	}
+
 	void progress(int nowPercent, long nowMillis) {
 		if (nowPercent != this.percent) {
 			this.percent = nowPercent;
