--- a/core/src/main/java/org/baobabspar/message/EntryWelcome.java
+++ b/core/src/main/java/org/baobabspar/message/EntryWelcome.java
@@ -8,6 +8,8 @@
  * @param entry name of the entry
  * @param incarnation the entry's lifetime
  * @param entries addresses of all entries that it knows
+ * @param routingVersion version of its routing table, 0 for none
  */
-public record EntryWelcome(String entry, long incarnation, List<String> entries) implements Message {
+public record EntryWelcome(String entry, long incarnation, List<String> entries,
+		long routingVersion) implements Message {
 }
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
@@ -684,7 +684,7 @@
 				}
 				this.open = true;
 				this.agent.process.deliver(() -> this.agent.heard.put(this.entry.number, SimulatedFleet.this.now));
-				toAgent(new EntryWelcome("entry-" + this.entry.number, this.entry.incarnation, List.of()));
+				toAgent(new EntryWelcome("entry-" + this.entry.number, this.entry.incarnation, List.of(), 0));
 			});
 		}
 
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
@@ -58,7 +58,7 @@
 	}
 
 	void link() {
-		this.supervisor.welcomed(LINK, new EntryWelcome("entry-1", 7, List.of()), this.nowMillis);
+		this.supervisor.welcomed(LINK, new EntryWelcome("entry-1", 7, List.of(), 0), this.nowMillis);
 		grant();
 	}
 
@@ -186,7 +186,7 @@
 			attach(1);
 			link();
 			running("t1");
-			this.supervisor.welcomed("entry-2", new EntryWelcome("entry-2", 8, List.of()), this.nowMillis);
+			this.supervisor.welcomed("entry-2", new EntryWelcome("entry-2", 8, List.of(), 0), this.nowMillis);
 			this.supervisor.granted("entry-2", new LeaseGrant(this.nowMillis, 0));
 			this.supervisor.start("entry-2",
 					new RunStart(1, new RunKey("job", "t2", 1), "payload", CORE, 100, this.nowMillis), this.nowMillis);
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -8,9 +8,11 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.baobabspar.daemon.Control;
+import org.baobabspar.fleet.RoutingTable;
 import org.baobabspar.message.EntryWelcome;
 import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.Message;
+import org.baobabspar.message.RoutingNotice;
 import org.baobabspar.message.RunStart;
 import org.baobabspar.message.RunStop;
 import org.baobabspar.supervise.EndpointDriver;
@@ -45,6 +47,9 @@
 
 	private final Map<String, Long> heardMillis = new HashMap<>();
 
+	/** The newest table that entries have passed on, for those that have none. */
+	private RoutingTable routing;
+
 	private volatile boolean idle = true;
 
 	/**
@@ -136,8 +141,16 @@
 		}
 		else if (m instanceof EntryWelcome w) {
 			dial(w.entries());
+			if (this.routing != null && this.routing.version() > w.routingVersion()) {
+				this.links.send(link, new RoutingNotice(this.routing));
+			}
 			this.supervisor.welcomed(link, w, now);
 		}
+		else if (m instanceof RoutingNotice r) {
+			if (this.routing == null || r.table().version() > this.routing.version()) {
+				this.routing = r.table();
+			}
+		}
 		else {
 			LOG.warn("agent: ignored message={} link={}", m.getClass().getSimpleName(), link);
 		}
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -1,7 +1,9 @@
 package org.baobabspar.node;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.atomic.AtomicReference;
@@ -19,6 +21,7 @@
 import org.baobabspar.message.EntryWelcome;
 import org.baobabspar.message.LeaseRequest;
 import org.baobabspar.message.Message;
+import org.baobabspar.message.RoutingNotice;
 import org.baobabspar.message.RunEnded;
 import org.baobabspar.message.SupervisorHello;
 import org.baobabspar.wire.LinkHandler;
@@ -45,6 +48,9 @@
 	 */
 	private static final long STALL_MILLIS = 400;
 
+	/** A version in a storm of them is passed on at most this often. */
+	private static final long ROUTING_PASS_MILLIS = 2_000;
+
 	private final String name;
 
 	private final long incarnation = System.currentTimeMillis();
@@ -63,6 +69,10 @@
 
 	private final Collection<String> entries = new ConcurrentSkipListSet<>();
 
+	private final Map<String, Long> routingSent = new HashMap<>();
+
+	private long routingPassedMillis;
+
 	private long lastTickMillis;
 
 	private boolean placeDue;
@@ -106,6 +116,7 @@
 		long now = this.clock.now();
 		noticeStall(now);
 		this.dispatcher.tick(now);
+		passRouting(now);
 		boolean can = this.dispatcher.servable(now);
 		if (can != this.servable) {
 			LOG.info("entry: servable={}", can);
@@ -239,9 +250,34 @@
 
 	// Agents
 
+	private long routingVersion() {
+		return table().map(RoutingTable::version).orElse(0L);
+	}
+
+	/**
+	 * Pass the table on to agents, who keep it for entries that cannot reach the store.
+	 * Changes in quick succession go together.
+	 * @param now the time
+	 */
+	private void passRouting(long now) {
+		RoutingTable t = this.table.get();
+		if (t == null || now - this.routingPassedMillis < ROUTING_PASS_MILLIS) {
+			return;
+		}
+		this.routingPassedMillis = now;
+		this.routingSent.replaceAll((link, version) -> {
+			if (t.version() > version) {
+				this.links.send(link, new RoutingNotice(t));
+			}
+			return t.version();
+		});
+	}
+
 	@Override
 	public void up(String link) {
-		this.links.send(link, new EntryWelcome(this.name, this.incarnation, List.copyOf(this.entries)));
+		this.links.send(link,
+				new EntryWelcome(this.name, this.incarnation, List.copyOf(this.entries), routingVersion()));
+		this.routingSent.put(link, 0L);
 	}
 
 	@Override
@@ -256,6 +292,9 @@
 		else if (m instanceof SupervisorHello h) {
 			this.dispatcher.hello(link, h, now);
 		}
+		else if (m instanceof RoutingNotice r) {
+			adopt(r.table(), "agent");
+		}
 		else {
 			LOG.warn("entry: ignored message={} link={}", m.getClass().getSimpleName(), link);
 		}
@@ -264,6 +303,7 @@
 
 	@Override
 	public void down(String link, boolean refused) {
+		this.routingSent.remove(link);
 		this.dispatcher.unlinked(link);
 	}
 
@@ -287,12 +327,4 @@
 		this.metrics.ended(route, reply, millis);
 	}
 
-	/**
-	 * Add addresses of entries, which agents are told.
-	 * @param addresses the addresses
-	 */
-	public void addEntries(Collection<String> addresses) {
-		this.entries.addAll(addresses);
-	}
-
 }
