Entries that started in the same millisecond are kept apart

Cause: an agent knew an entry's lifetime by its start in milliseconds; two entries with the same figure took the link from each other every 2.6 s, and each time all runs were taken as lost. Conclusion: a lifetime is known by name and start.

--- a/core/src/main/java/org/baobabspar/supervise/Owner.java
+++ b/core/src/main/java/org/baobabspar/supervise/Owner.java
@@ -16,8 +16,6 @@
 
 	private static final int MAX_KEPT_ENDS = 10_000;
 
-	final long incarnation;
-
 	final String name;
 
 	String link;
@@ -36,8 +34,7 @@
 
 	private final Deque<RunEnded> ends = new ArrayDeque<>();
 
-	Owner(long incarnation, String name) {
-		this.incarnation = incarnation;
+	Owner(String name) {
 		this.name = name;
 	}
 
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -71,7 +71,7 @@
 
 	private final Consumer<String> log;
 
-	private final Map<Long, Owner> owners = new HashMap<>();
+	private final Map<String, Owner> owners = new HashMap<>();
 
 	private final Map<String, Owner> byLink = new HashMap<>();
 
@@ -506,7 +506,7 @@
 	 * @param nowMillis the time
 	 */
 	public void welcomed(String link, EntryWelcome m, long nowMillis) {
-		Owner o = this.owners.computeIfAbsent(m.incarnation(), (i) -> new Owner(i, m.entry()));
+		Owner o = this.owners.computeIfAbsent(m.entry() + "@" + m.incarnation(), (i) -> new Owner(m.entry()));
 		if (o.link != null) {
 			this.byLink.remove(o.link);
 		}
@@ -516,13 +516,13 @@
 		this.byLink.put(link, o);
 		this.log.accept("entry=" + m.entry() + " incarnation=" + m.incarnation() + " state=linked");
 		this.outbox.send(link, new SupervisorHello(this.agent, this.incarnation, this.domain,
-				status(o.lastStartSequence, nowMillis), runsOf(m.incarnation())));
+				status(o.lastStartSequence, nowMillis), runsOf(o)));
 		o.unconfirmed().forEach((e) -> this.outbox.send(link, e));
 		request(o, nowMillis);
 	}
 
-	private List<RunKey> runsOf(long incarnation) {
-		return this.runs.values().stream().filter((r) -> r.owner.incarnation == incarnation).map((r) -> r.key).toList();
+	private List<RunKey> runsOf(Owner o) {
+		return this.runs.values().stream().filter((r) -> r.owner == o).map((r) -> r.key).toList();
 	}
 
 	/**
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
@@ -359,6 +359,31 @@
 
 	}
 
+	/**
+	 * Entries.
+	 */
+	public static class Entries extends RunSupervisorTests {
+
+		@Test
+		void thatStartedInTheSameMillisecondAreKeptApart() {
+			attach(1);
+			link();
+			this.supervisor.welcomed("entry-2", new EntryWelcome("entry-2", 7, List.of(), 0), this.nowMillis);
+			running("t1");
+			assertEquals(this.driver.starts.size(), 1);
+			List<String> links = new ArrayList<>();
+			RunSupervisor s = new RunSupervisor("agent-1", 1, "domain-1", 100, this.driver,
+					(link, m) -> links.add(link), (line) -> {
+					});
+			s.welcomed(LINK, new EntryWelcome("entry-1", 7, List.of(), 0), this.nowMillis);
+			s.welcomed("entry-2", new EntryWelcome("entry-2", 7, List.of(), 0), this.nowMillis);
+			links.clear();
+			s.tick(this.nowMillis + 100);
+			assertEquals(links.stream().sorted().toList(), List.of(LINK, "entry-2"));
+		}
+
+	}
+
 	/**
 	 * Lifetimes of the endpoint.
 	 */
