An agent's hello answers one welcome

Cause: an agent that wakes may answer the welcome of a link that is gone on the new link; its list of runs is then older than the entry's last orders, and these were taken as lost. Ruled out: two hellos from one welcome. Conclusion: a hello names the link whose welcome it answers.

--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -55,6 +55,11 @@
 
 	private final Map<String, Answer> answers = new LinkedHashMap<>();
 
+	/** Numbers of links whose agents have not said hello. */
+	private final Map<String, Long> awaited = new HashMap<>();
+
+	private long lastLinkNumber;
+
 	private final Map<String, AgentView> byLink = new HashMap<>();
 
 	private final List<AgentView> views = new ArrayList<>();
@@ -250,12 +255,27 @@
 	// Agents
 
 	/**
-	 * Take the hello of an agent.
+	 * Take a new link.
+	 * @param link the link
+	 * @return its number, for the welcome
+	 */
+	public long linked(String link) {
+		this.awaited.put(link, ++this.lastLinkNumber);
+		return this.lastLinkNumber;
+	}
+
+	/**
+	 * Take the hello of an agent. One that answers the welcome of an earlier link may
+	 * list runs as they were before later orders, so it is ignored.
 	 * @param link the link
 	 * @param m the hello
 	 * @param nowMillis the time
 	 */
 	public void hello(String link, SupervisorHello m, long nowMillis) {
+		if (!this.awaited.remove(link, m.linkNumber())) {
+			this.outbox.log("agent=" + m.agent() + " hello=ignored link_number=" + m.linkNumber());
+			return;
+		}
 		AgentView v = this.views.stream()
 			.filter((o) -> o.name.equals(m.agent()) && o.incarnation == m.incarnation())
 			.findFirst()
@@ -378,6 +398,7 @@
 	 * @param link the link
 	 */
 	public void unlinked(String link) {
+		this.awaited.remove(link);
 		AgentView v = this.byLink.remove(link);
 		if (v != null) {
 			v.link = null;
--- a/core/src/main/java/org/baobabspar/message/SupervisorHello.java
+++ b/core/src/main/java/org/baobabspar/message/SupervisorHello.java
@@ -14,7 +14,8 @@
  * @param domain its failure domain
  * @param status its endpoint
  * @param runs runs of this entry that are present at the endpoint
+ * @param linkNumber from the welcome that this answers
  */
-public record SupervisorHello(String agent, long incarnation, String domain, EndpointStatus status,
-		List<RunKey> runs) implements Message {
+public record SupervisorHello(String agent, long incarnation, String domain, EndpointStatus status, List<RunKey> runs,
+		long linkNumber) implements Message {
 }
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -516,7 +516,7 @@
 		this.byLink.put(link, o);
 		this.log.accept("entry=" + m.entry() + " incarnation=" + m.incarnation() + " state=linked");
 		this.outbox.send(link, new SupervisorHello(this.agent, this.incarnation, this.domain,
-				status(o.lastStartSequence, nowMillis), runsOf(o)));
+				status(o.lastStartSequence, nowMillis), runsOf(o), m.linkNumber()));
 		o.unconfirmed().forEach((e) -> this.outbox.send(link, e));
 		request(o, nowMillis);
 	}
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -275,8 +275,8 @@
 
 	@Override
 	public void up(String link) {
-		this.links.send(link,
-				new EntryWelcome(this.name, this.incarnation, List.copyOf(this.entries), routingVersion()));
+		this.links.send(link, new EntryWelcome(this.name, this.incarnation, List.copyOf(this.entries),
+				this.dispatcher.linked(link), routingVersion()));
 		this.routingSent.put(link, 0L);
 	}
 
