--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -118,10 +118,7 @@
 			return Optional.of("entry_full");
 		}
 		List<AgentView> usable = usable(route, nowMillis);
-		if (usable.isEmpty()) {
-			return Optional.of("no_endpoint");
-		}
-		boolean fits = order.steps()
+		boolean fits = usable.isEmpty() || order.steps()
 			.stream()
 			.allMatch((s) -> usable.stream().anyMatch((a) -> s.room().fitsInto(a.status.capacity())));
 		return fits ? Optional.empty() : Optional.of("never_fits");
@@ -469,6 +466,10 @@
 	}
 
 	private void place(DispatchedJob job, Placement p, long nowMillis) {
+		if (p.empty()) {
+			waitForAgents(job, nowMillis);
+			return;
+		}
 		boolean late = !p.canBeInTime(job);
 		if (late && !job.mayHaveBegun() && p.used() > CALM_SHARE) {
 			decline(job, "overload used=" + Math.round(100 * p.used()), nowMillis);
@@ -484,6 +485,19 @@
 		}
 	}
 
+	/**
+	 * Agents are back within a second or two when their entry or they themselves have
+	 * restarted; a job waits for them while it can still be in time.
+	 * @param job the job
+	 * @param nowMillis the time
+	 */
+	private void waitForAgents(DispatchedJob job, long nowMillis) {
+		double millis = nowMillis - job.receivedMillis + job.chainMillis + Placement.OVERHEAD_MILLIS;
+		if (!job.mayHaveBegun() && millis > job.objectiveMillis()) {
+			decline(job, "no_endpoint", nowMillis);
+		}
+	}
+
 	private static String describe(List<Placement.Choice> choices) {
 		Map<String, Integer> counts = new LinkedHashMap<>();
 		choices.forEach((c) -> counts.merge(c.agent().name, 1, Integer::sum));
--- a/core/src/main/java/org/baobabspar/dispatch/Placement.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Placement.java
@@ -46,6 +46,10 @@
 		}
 	}
 
+	boolean empty() {
+		return this.agents.isEmpty();
+	}
+
 	/**
 	 * Choose endpoints.
 	 * @param job the job
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -132,11 +132,11 @@
 	 * @param nowMillis the time
 	 */
 	public void report(EndpointReport r, long nowMillis) {
-		if (this.endpoint != null && r.bornMillis() < this.endpoint.bornMillis()) {
+		if (this.endpoint != null && this.looked && r.bornMillis() < this.endpoint.bornMillis()) {
 			this.log.accept("ignored report=late endpoint=" + r.endpointId() + " born=" + r.bornMillis());
 			return;
 		}
-		if (this.endpoint == null || r.bornMillis() > this.endpoint.bornMillis()
+		if (this.endpoint == null || r.bornMillis() != this.endpoint.bornMillis()
 				|| !r.endpointId().equals(this.endpoint.endpointId())) {
 			attach(r, nowMillis);
 		}
@@ -150,6 +150,20 @@
 		statusChanged();
 	}
 
+	/**
+	 * Take up what an earlier lifetime of this agent has stored of its endpoint, so that
+	 * a restarted agent need not wait for a report. The endpoint is used once it has
+	 * answered as that lifetime.
+	 * @param r the last report
+	 * @param nowMillis the time
+	 */
+	public void remember(EndpointReport r, long nowMillis) {
+		if (this.endpoint == null) {
+			this.log.accept("endpoint=" + r.endpointId() + " born=" + r.bornMillis() + " state=remembered");
+			attach(r, nowMillis);
+		}
+	}
+
 	/**
 	 * Take up another lifetime. One under the same id may have carried out orders that
 	 * were meant for the last, so its list tells which runs are gone; the higher fencing
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
@@ -433,6 +433,25 @@
 			assertEquals(this.supervisor.status(0, this.nowMillis).capacity(), CORE.times(4));
 		}
 
+		@Test
+		void aRememberedOneIsUsedOnceItHasAnswered() {
+			this.supervisor.remember(new EndpointReport("endpoint-1", 5, 0, "service", CORE.times(4), List.of(), false),
+					this.nowMillis);
+			assertEquals(state(), EndpointState.SILENT);
+			observe(4, List.of(), List.of());
+			assertEquals(state(), EndpointState.SILENT);
+			observe(5, List.of(), List.of());
+			assertEquals(state(), EndpointState.READY);
+		}
+
+		@Test
+		void aRememberedOneThatHasNotAnsweredGivesWayToAReport() {
+			this.supervisor.remember(new EndpointReport("endpoint-1", 5, 0, "service", CORE.times(4), List.of(), false),
+					this.nowMillis);
+			attach(4);
+			assertEquals(state(), EndpointState.READY);
+		}
+
 		@Test
 		void aHigherFenceIsOvertaken() {
 			attach(1);
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -104,12 +104,15 @@
 	/**
 	 * Listen for agents and start working.
 	 * @param host the local address
-	 * @param port the port
+	 * @param port the port, 0 for any
+	 * @return the port
 	 */
-	public void start(String host, int port) {
-		this.entries.add(host + ":" + this.links.listen(host, port));
+	public int start(String host, int port) {
+		int bound = this.links.listen(host, port);
+		this.entries.add(host + ":" + bound);
 		this.control.every(TICK_MILLIS, this::tick);
-		LOG.info("entry: start name={} incarnation={} links={}:{}", this.name, this.incarnation, host, port);
+		LOG.info("entry: start name={} incarnation={} links={}:{}", this.name, this.incarnation, host, bound);
+		return bound;
 	}
 
 	private void tick() {
--- a/wire/src/main/java/org/baobabspar/wire/FrameCodec.java
+++ b/wire/src/main/java/org/baobabspar/wire/FrameCodec.java
@@ -1,8 +1,8 @@
 package org.baobabspar.wire;
 
 import java.io.IOException;
-import java.util.EnumMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -22,7 +22,7 @@
  * type byte and the message as a MessagePack array of its fields in their order; new
  * fields are added at the end, and readers skip what they do not know.
  * <p>
- * Immutable and safe for any thread.
+ * Safe for any thread.
  */
 public final class FrameCodec {
 
@@ -34,19 +34,27 @@
 
 	private static final int HEADER_BYTES = 2;
 
-	private final Map<MessageType, ObjectReader> readers = new EnumMap<>(MessageType.class);
+	private final ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
 
-	private final Map<MessageType, ObjectWriter> writers = new EnumMap<>(MessageType.class);
+	private final Map<MessageType, ObjectReader> readers = new ConcurrentHashMap<>();
 
-	/** Create a codec for all types of message. */
+	private final Map<MessageType, ObjectWriter> writers = new ConcurrentHashMap<>();
+
+	/**
+	 * Create a codec. Types are prepared at their first message, since no process speaks
+	 * all of them.
+	 */
 	public FrameCodec() {
-		ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
-		mapper.setAnnotationIntrospector(new JsonArrayFormat());
-		mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
-		for (MessageType t : MessageType.values()) {
-			this.readers.put(t, mapper.readerFor(t.messageClass()));
-			this.writers.put(t, mapper.writerFor(t.messageClass()));
-		}
+		this.mapper.setAnnotationIntrospector(new JsonArrayFormat());
+		this.mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+	}
+
+	private ObjectReader reader(MessageType t) {
+		return this.readers.computeIfAbsent(t, (k) -> this.mapper.readerFor(k.messageClass()));
+	}
+
+	private ObjectWriter writer(MessageType t) {
+		return this.writers.computeIfAbsent(t, (k) -> this.mapper.writerFor(k.messageClass()));
 	}
 
 	/**
@@ -71,7 +79,7 @@
 
 	private byte[] write(MessageType t, Message m) {
 		try {
-			return this.writers.get(t).writeValueAsBytes(m);
+			return writer(t).writeValueAsBytes(m);
 		}
 		catch (JsonProcessingException ex) {
 			throw new CodedException(ResultCode.FRAME_BODY, t + " cannot be written", ex);
@@ -99,7 +107,7 @@
 
 	private Message read(MessageType t, byte[] frame) {
 		try {
-			Message m = this.readers.get(t).readValue(frame, HEADER_BYTES, frame.length - HEADER_BYTES);
+			Message m = reader(t).readValue(frame, HEADER_BYTES, frame.length - HEADER_BYTES);
 			if (m == null) {
 				throw new CodedException(ResultCode.FRAME_BODY, t + " is empty");
 			}
