Slow, stalled and failing endpoints are found by the progress of their runs

Cause: a worker that turned slow or stood still was noticed only at the end of its runs or after three run times, and its speed never came back since it got no more work. Ruled out: the health probe (good all the while, and priced). Conclusion: percentages tell within 0.25 s; a set-aside endpoint is tried with one run at a time.

--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -52,10 +52,14 @@
 
 	private static final long FENCE_STEP = 10_000;
 
-	/** A run that makes no progress for this many expected run times stands still. */
-	private static final double STALL_FACTOR = 3;
+	/**
+	 * A run whose percentage does not change for so long, or for this share of its
+	 * expected run time, stands still. One on an endpoint that is eight times too slow
+	 * gains a percent in less.
+	 */
+	private static final long STALL_MILLIS = 220;
 
-	private static final long STALL_MILLIS = 300;
+	private static final double STALL_SHARE = 0.12;
 
 	private static final int MAX_ENDS_LISTED = 500;
 
@@ -298,7 +302,7 @@
 			if (r != null && r.is(p.task(), p.number())) {
 				present.add(p.task());
 				r.confirm(nowMillis);
-				r.progress(p.percent(), nowMillis);
+				judge(r, p.percent(), nowMillis);
 			}
 			else {
 				unknown.add(p.task());
@@ -315,6 +319,28 @@
 		}
 	}
 
+	/**
+	 * Learn from how far a run is: one that stands still is stopped, so that it can start
+	 * elsewhere, and one that is behind shows that the endpoint has become slow.
+	 * @param r the run
+	 * @param percent how far it is
+	 * @param nowMillis the time
+	 */
+	private void judge(SupervisedRun r, int percent, long nowMillis) {
+		if (r.phase != Phase.RUNNING) {
+			return;
+		}
+		if (percent != r.percent || !r.observed) {
+			r.progress(percent, nowMillis);
+			r.pace().ifPresent((pace) -> this.health.behind(pace, nowMillis));
+		}
+		else if (nowMillis - r.progressMillis > Math.max(STALL_MILLIS, STALL_SHARE * r.expectedMillis)) {
+			this.health.stalled(r, nowMillis);
+			stop(r, nowMillis, "stalled_at_percent_" + r.percent);
+			statusChanged();
+		}
+	}
+
 	/**
 	 * Take a run that the endpoint lists neither as present nor as ended. That means
 	 * something only if the look was sent after the start or the stop was confirmed.
@@ -418,7 +444,10 @@
 				|| this.runs.containsKey(m.run().task())) {
 			return Optional.of("job_present");
 		}
-		return m.room().fitsInto(free()) ? Optional.empty() : Optional.of("no_room");
+		if (s == EndpointState.SUSPECT) {
+			return Optional.of("endpoint_suspect");
+		}
+		return m.room().fitsInto(offered(nowMillis)) ? Optional.empty() : Optional.of("no_room");
 	}
 
 	/**
@@ -633,15 +662,6 @@
 		if (!r.owner.leased(nowMillis)) {
 			stop(r, nowMillis, "lease_lapsed");
 		}
-		else if (r.phase == Phase.RUNNING && stalled(r, nowMillis)) {
-			this.health.stalled(r, nowMillis);
-			stop(r, nowMillis, "stalled_at_percent_" + r.percent);
-		}
-	}
-
-	private boolean stalled(SupervisedRun r, long nowMillis) {
-		double patience = STALL_MILLIS + STALL_FACTOR * r.expectedMillis / Math.min(1, this.health.speed());
-		return nowMillis - r.progressMillis > patience;
 	}
 
 	// Status
@@ -684,6 +704,16 @@
 		return free;
 	}
 
+	/**
+	 * Give the room that new runs may take. An endpoint that was set aside is tried with
+	 * one run at a time until one has done its work.
+	 * @param nowMillis the time
+	 * @return the room
+	 */
+	private Room offered(long nowMillis) {
+		return (this.health.onTrial() && !this.runs.isEmpty()) ? Room.NONE : free();
+	}
+
 	/**
 	 * Describe the endpoint to an entry.
 	 * @param lastStartSequence the last start of that entry
@@ -696,7 +726,8 @@
 					lastStartSequence);
 		}
 		return new EndpointStatus(this.endpoint.endpointId(), this.endpoint.service(), state(nowMillis),
-				this.endpoint.capacity(), free(), this.endpoint.labels(), this.health.speed(), lastStartSequence);
+				this.endpoint.capacity(), offered(nowMillis), this.endpoint.labels(), this.health.speed(nowMillis),
+				lastStartSequence);
 	}
 
 }
--- a/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
+++ b/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
@@ -1,5 +1,7 @@
 package org.baobabspar.supervise;
 
+import java.util.OptionalDouble;
+
 import org.baobabspar.fleet.Room;
 import org.baobabspar.fleet.RunKey;
 
@@ -10,6 +12,8 @@
  */
 final class SupervisedRun {
 
+	private static final double MIN_PACE_MILLIS = 100;
+
 	enum Phase {
 
 		/** The start is sent. */
@@ -47,6 +51,9 @@
 
 	long stopConfirmedMillis;
 
+	/** Whether the endpoint has told how far it is. */
+	boolean observed;
+
 	int percent;
 
 	long progressMillis;
@@ -85,10 +92,20 @@
 	}
 
 	void progress(int nowPercent, long nowMillis) {
-		if (nowPercent != this.percent) {
-			this.percent = nowPercent;
-			this.progressMillis = nowMillis;
-		}
+		this.observed = true;
+		this.percent = nowPercent;
+		this.progressMillis = nowMillis;
+	}
+
+	/**
+	 * Compare the run with what was expected of it by now.
+	 * @return work done against work expected, if it has run long enough to tell
+	 */
+	OptionalDouble pace() {
+		double ran = this.progressMillis - this.startedMillis;
+		boolean early = ran < MIN_PACE_MILLIS || ran < this.expectedMillis;
+		return (early || this.percent <= 0) ? OptionalDouble.empty()
+				: OptionalDouble.of(this.percent / 100.0 * this.expectedMillis / ran);
 	}
 
 }
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedEndpoint.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedEndpoint.java
@@ -134,8 +134,12 @@
 		}
 	}
 
-	List<PresentRun> present() {
-		return this.present.values().stream().map((p) -> new PresentRun(p.task, p.number, 0)).toList();
+	List<PresentRun> present(long nowMillis) {
+		return this.present.values()
+			.stream()
+			.map((p) -> new PresentRun(p.task, p.number,
+					(int) (100 * (nowMillis - p.startMillis) / Math.max(1, p.workMillis))))
+			.toList();
 	}
 
 	List<EndedRun> ended(long confirmed) {
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
@@ -614,7 +614,8 @@
 			ended.stream()
 				.filter((e) -> e.end() == org.baobabspar.fleet.RunEnd.DONE)
 				.forEach((e) -> SimulatedFleet.this.calls.get(e.task().split("/")[0]).done.add(e.task()));
-			return new Observation(sent, this.endpoint.bornMillis, this.endpoint.present(), ended);
+			return new Observation(sent, this.endpoint.bornMillis, this.endpoint.present(SimulatedFleet.this.now),
+					ended);
 		}
 
 		@Override
