--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -169,16 +169,16 @@
 	}
 
 	/**
-	 * Give all jobs up after this process stood still: callers may have gone to another
-	 * entry meanwhile.
-	 * @param millis how long it stood still
+	 * Give all jobs up: after this process stood still, since callers may be at another
+	 * entry by now, or when it is about to end.
+	 * @param reason why
 	 * @param nowMillis the time
 	 */
-	public void stalled(long millis, long nowMillis) {
-		this.outbox.log("stalled_ms=" + millis + " jobs=" + this.jobs.size());
+	public void declineAll(String reason, long nowMillis) {
+		this.outbox.log("declining jobs=" + this.jobs.size() + " reason=" + reason);
 		for (DispatchedJob job : List.copyOf(this.jobs.values())) {
 			if (!job.givenUp) {
-				decline(job, "entry_stalled", nowMillis);
+				decline(job, reason, nowMillis);
 			}
 		}
 	}
--- a/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
@@ -194,7 +194,7 @@
 		void neverRefusedOnceATaskMayHaveBegun() {
 			agent("a", 8, 1);
 			submit(job("j", 1, 100));
-			this.dispatcher.stalled(1_000, this.nowMillis);
+			this.dispatcher.declineAll("test", this.nowMillis);
 			assertEquals(outcomes(), List.of(JobOutcome.UNKNOWN));
 			assertEquals(stops("a"), 1);
 		}
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
@@ -363,7 +363,7 @@
 			long gap = SimulatedFleet.this.now - this.lastTick;
 			this.lastTick = SimulatedFleet.this.now;
 			if (gap > STALL_MILLIS) {
-				this.dispatcher.stalled(gap, SimulatedFleet.this.now);
+				this.dispatcher.declineAll("stalled", SimulatedFleet.this.now);
 			}
 		}
 
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -81,6 +81,8 @@
 
 	private volatile boolean draining;
 
+	private volatile boolean refusing;
+
 	private volatile long open;
 
 	/**
@@ -132,7 +134,8 @@
 		long gap = now - this.lastTickMillis;
 		this.lastTickMillis = now;
 		if (gap > STALL_MILLIS) {
-			this.dispatcher.stalled(gap, now);
+			LOG.info("entry: stalled_ms={}", gap);
+			this.dispatcher.declineAll("entry_stalled", now);
 		}
 	}
 
@@ -243,6 +246,21 @@
 		return this.draining;
 	}
 
+	/** Take no more jobs, since there is no time left for them. */
+	public void refuseNew() {
+		this.refusing = true;
+		LOG.info("entry: refusing new jobs, open={}", this.open);
+	}
+
+	public boolean refusing() {
+		return this.refusing;
+	}
+
+	/** Answer all jobs that are left, just before the process ends. */
+	public void declineAll() {
+		this.control.run(() -> this.dispatcher.declineAll("entry_stopping", enter()));
+	}
+
 	/**
 	 * Count the jobs whose callers wait.
 	 * @return how many, as of the last tick
