--- a/core/src/main/java/org/baobabspar/dispatch/PlacedTask.java
+++ b/core/src/main/java/org/baobabspar/dispatch/PlacedTask.java
@@ -13,6 +13,7 @@
  */
 final class PlacedTask {
 
+	/** How far the task is. */
 	enum State {
 
 		/** Waits for an endpoint. */
--- a/core/src/main/java/org/baobabspar/dispatch/Placement.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Placement.java
@@ -149,6 +149,12 @@
 		return (all > 0) ? 1 - (double) unused / all : 1;
 	}
 
+	/**
+	 * An endpoint for a task.
+	 *
+	 * @param task the task
+	 * @param agent the agent of the endpoint
+	 */
 	record Choice(PlacedTask task, AgentView agent) {
 	}
 
--- a/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
+++ b/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
@@ -14,6 +14,7 @@
 
 	private static final double MIN_PACE_MILLIS = 100;
 
+	/** How far the run is. */
 	enum Phase {
 
 		/** The start is sent. */
--- a/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
@@ -21,12 +21,10 @@
 import org.baobabspar.message.RunStop;
 import org.baobabspar.message.SupervisorHello;
 import org.baobabspar.supervise.LeaseTimes;
+import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
-
 /**
  * Tests of {@link Dispatcher} with agents played by the test.
  */
@@ -133,9 +131,9 @@
 			submit(job("j", 2, 100));
 			List<RunKey> runs = starts("a");
 			end("a", runs.get(0), RunEnd.DONE);
-			assertTrue(this.replies.isEmpty());
+			Assert.assertTrue(this.replies.isEmpty());
 			end("a", runs.get(1), RunEnd.DONE);
-			assertEquals(outcomes(), List.of(JobOutcome.COMPLETED));
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.COMPLETED));
 		}
 
 		@Test
@@ -146,9 +144,9 @@
 			String first = starts("a").isEmpty() ? "b" : "a";
 			String second = first.equals("a") ? "b" : "a";
 			end(first, starts(first).get(0), RunEnd.FAILED);
-			assertEquals(starts(second).get(0).number(), 2);
+			Assert.assertEquals(starts(second).get(0).number(), 2);
 			end(second, starts(second).get(0), RunEnd.FAILED);
-			assertEquals(outcomes(), List.of(JobOutcome.FAILED));
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.FAILED));
 		}
 
 		@Test
@@ -157,8 +155,8 @@
 			submit(job("j", 1, 100));
 			end("a", starts("a").get(0), RunEnd.DONE);
 			submit(job("j", 1, 100));
-			assertEquals(outcomes(), List.of(JobOutcome.COMPLETED, JobOutcome.COMPLETED));
-			assertEquals(starts("a").size(), 1);
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.COMPLETED, JobOutcome.COMPLETED));
+			Assert.assertEquals(starts("a").size(), 1);
 		}
 
 		@Test
@@ -166,10 +164,10 @@
 			submit(job("j", 1, 100));
 			this.nowMillis += 100;
 			this.dispatcher.place(this.nowMillis);
-			assertTrue(this.replies.isEmpty());
+			Assert.assertTrue(this.replies.isEmpty());
 			this.nowMillis += 20;
 			this.dispatcher.place(this.nowMillis);
-			assertEquals(outcomes(), List.of(JobOutcome.REFUSED));
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.REFUSED));
 		}
 
 		@Test
@@ -178,7 +176,7 @@
 			agent("a", 8, 1);
 			this.dispatcher.place(this.nowMillis);
 			end("a", starts("a").get(0), RunEnd.DONE);
-			assertEquals(outcomes(), List.of(JobOutcome.COMPLETED));
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.COMPLETED));
 		}
 
 		@Test
@@ -187,7 +185,7 @@
 			this.dispatcher.submit(
 					new JobOrder("j", "", List.of(new Step(1, CORE.times(9), 100, List.of(), "", "", 0))), ROUTE,
 					10_000, this.replies::add, this.nowMillis);
-			assertEquals(outcomes(), List.of(JobOutcome.REFUSED));
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.REFUSED));
 		}
 
 		@Test
@@ -195,8 +193,8 @@
 			agent("a", 8, 1);
 			submit(job("j", 1, 100));
 			this.dispatcher.declineAll("test", this.nowMillis);
-			assertEquals(outcomes(), List.of(JobOutcome.UNKNOWN));
-			assertEquals(stops("a"), 1);
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.UNKNOWN));
+			Assert.assertEquals(stops("a"), 1);
 		}
 
 	}
@@ -214,10 +212,10 @@
 			this.nowMillis += LeaseTimes.LOSS_MILLIS;
 			agent("b", 8, 1);
 			this.dispatcher.tick(this.nowMillis);
-			assertTrue(starts("b").isEmpty());
+			Assert.assertTrue(starts("b").isEmpty());
 			this.nowMillis += 1;
 			this.dispatcher.tick(this.nowMillis);
-			assertEquals(starts("b").get(0).number(), 2);
+			Assert.assertEquals(starts("b").get(0).number(), 2);
 		}
 
 		@Test
@@ -227,7 +225,7 @@
 			this.dispatcher.unlinked("a");
 			agent("a", 8, 1);
 			this.dispatcher.place(this.nowMillis);
-			assertEquals(starts("a").size(), 2);
+			Assert.assertEquals(starts("a").size(), 2);
 		}
 
 		@Test
@@ -239,9 +237,9 @@
 			hello("a", status("a", 7, 1, 0), List.of(run));
 			this.dispatcher.request("a", new LeaseRequest(this.nowMillis, status("a", 7, 1, 0)), this.nowMillis);
 			this.dispatcher.place(this.nowMillis);
-			assertEquals(starts("a").size(), 1);
+			Assert.assertEquals(starts("a").size(), 1);
 			end("a", run, RunEnd.DONE);
-			assertEquals(outcomes(), List.of(JobOutcome.COMPLETED));
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.COMPLETED));
 		}
 
 		@Test
@@ -252,7 +250,7 @@
 					this.nowMillis);
 			this.dispatcher.request("a", new LeaseRequest(this.nowMillis, status("a", 8, 1, 0)), this.nowMillis);
 			this.dispatcher.place(this.nowMillis);
-			assertEquals(starts("a").size(), 1);
+			Assert.assertEquals(starts("a").size(), 1);
 		}
 
 		@Test
@@ -260,7 +258,7 @@
 			agent("a", 8, 1);
 			submit(job("j", 1, 100));
 			end("a", starts("a").get(0), RunEnd.NUMBER_USED);
-			assertEquals(starts("a").get(1).number(), 2);
+			Assert.assertEquals(starts("a").get(1).number(), 2);
 		}
 
 	}
@@ -275,7 +273,7 @@
 			agent("a", 8, 1);
 			Consumer<JobReply> caller = submit(job("j", 3, 100));
 			this.dispatcher.abandon("j", caller, this.nowMillis);
-			assertEquals(stops("a"), 3);
+			Assert.assertEquals(stops("a"), 3);
 		}
 
 		@Test
@@ -284,9 +282,9 @@
 			Consumer<JobReply> caller = submit(job("j", 1, 100));
 			this.dispatcher.abandon("j", caller, this.nowMillis);
 			submit(job("j", 1, 100));
-			assertEquals(starts("a").size(), 1);
+			Assert.assertEquals(starts("a").size(), 1);
 			end("a", starts("a").get(0), RunEnd.STOPPED);
-			assertEquals(starts("a").get(1).number(), 2);
+			Assert.assertEquals(starts("a").get(1).number(), 2);
 		}
 
 	}
@@ -301,12 +299,12 @@
 			agent("slow", 8, 0.6);
 			agent("fast", 8, 1.6);
 			submit(job("short", 1, 80));
-			assertEquals(starts("slow").size(), 1);
+			Assert.assertEquals(starts("slow").size(), 1);
 			this.dispatcher.submit(job("long", 1, 9_000),
 					new Route("other", "host", "/q/", "service", 0, 2, 1.6, 60, ""), 30_000, this.replies::add,
 					this.nowMillis);
 			this.dispatcher.place(this.nowMillis);
-			assertEquals(starts("fast").size(), 1);
+			Assert.assertEquals(starts("fast").size(), 1);
 		}
 
 		@Test
@@ -316,10 +314,10 @@
 			}
 			agent("a", 2, 1);
 			submit(job("j", 3, 100));
-			assertTrue(starts("a").isEmpty());
+			Assert.assertTrue(starts("a").isEmpty());
 			agent("b", 1, 1);
 			this.dispatcher.place(this.nowMillis);
-			assertEquals(starts("a").size() + starts("b").size(), 3);
+			Assert.assertEquals(starts("a").size() + starts("b").size(), 3);
 		}
 
 		@Test
@@ -327,7 +325,7 @@
 			agent("a", 2, 1);
 			submit(job("j", 2, 100));
 			submit(job("k", 1, 100));
-			assertEquals(starts("a").size(), 2);
+			Assert.assertEquals(starts("a").size(), 2);
 		}
 
 		@Test
@@ -335,7 +333,7 @@
 			agent("a", 8, 1);
 			this.nowMillis += AgentView.QUIET_MILLIS;
 			submit(job("j", 1, 100));
-			assertTrue(starts("a").isEmpty());
+			Assert.assertTrue(starts("a").isEmpty());
 		}
 
 		@Test
@@ -343,9 +341,9 @@
 			agent("a", 8, 1);
 			submit(new JobOrder("j", "", List.of(new Step(1, CORE, 100, List.of(), "", "", 0),
 					new Step(1, CORE, 100, List.of(0), "", "", 0))));
-			assertEquals(starts("a").size(), 1);
+			Assert.assertEquals(starts("a").size(), 1);
 			end("a", starts("a").get(0), RunEnd.DONE);
-			assertEquals(starts("a").get(1).task(), "j/1/0");
+			Assert.assertEquals(starts("a").get(1).task(), "j/1/0");
 		}
 
 	}
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
@@ -141,6 +141,19 @@
 		}
 	}
 
+	private void checkStart(Agent at, RunKey run) {
+		this.calls.get(run.jobId()).started(run.task());
+		trace("endpoint-" + at.number, "start " + run);
+		for (Agent a : this.agents) {
+			if (a != at && a.endpoint.present.containsKey(run.task())) {
+				this.broken.add("two runs at " + this.now + ": " + run + " on " + at.number + " and " + a.number);
+			}
+		}
+		if (!at.endpoint.used().fitsInto(CAPACITY)) {
+			this.broken.add("over capacity at " + this.now + ": " + run);
+		}
+	}
+
 	// Callers
 
 	private void newJob() {
@@ -241,7 +254,9 @@
 						SimulatedFleet.this.broken.add("completed though tasks were not done: " + this.order.id());
 					}
 				}
-				case FAILED -> this.over = true;
+				case FAILED -> {
+					this.over = true;
+				}
 				case REFUSED -> {
 					this.over = true;
 					this.refusedForGood = this.onlyRefused;
@@ -341,7 +356,8 @@
 
 		private void boot() {
 			this.process.alive = true;
-			this.incarnation = ++SimulatedFleet.this.lifetimes;
+			SimulatedFleet.this.lifetimes++;
+			this.incarnation = SimulatedFleet.this.lifetimes;
 			this.dispatcher = new Dispatcher("domain", this);
 			this.lastTick = SimulatedFleet.this.now;
 			tickLater(this.process.life);
@@ -456,7 +472,8 @@
 
 		private void boot() {
 			this.process.alive = true;
-			long life = ++SimulatedFleet.this.lifetimes;
+			SimulatedFleet.this.lifetimes++;
+			long life = SimulatedFleet.this.lifetimes;
 			this.heard.clear();
 			this.supervisor = new RunSupervisor("agent-" + this.number, life, "domain", life * 1_000, this, (link,
 					m) -> SimulatedFleet.this.entries.get(Integer.parseInt(link)).links.get(this.number).toEntry(m),
@@ -629,19 +646,6 @@
 
 	}
 
-	private void checkStart(Agent at, RunKey run) {
-		this.calls.get(run.jobId()).started(run.task());
-		trace("endpoint-" + at.number, "start " + run);
-		for (Agent a : this.agents) {
-			if (a != at && a.endpoint.present.containsKey(run.task())) {
-				this.broken.add("two runs at " + this.now + ": " + run + " on " + at.number + " and " + a.number);
-			}
-		}
-		if (!at.endpoint.used().fitsInto(CAPACITY)) {
-			this.broken.add("over capacity at " + this.now + ": " + run);
-		}
-	}
-
 	/**
 	 * A link that keeps the order of its messages. Cut, it keeps them back; reset, it
 	 * drops them and opens again.
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedFleetTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedFleetTests.java
@@ -1,11 +1,9 @@
 package org.baobabspar.dispatch;
 
+import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
-
 /**
  * Histories of {@link SimulatedFleet}. Seeds that have failed are among them: 1001 and
  * 1017 when orders placed between an agent's hello and its first request were taken as
@@ -30,16 +28,16 @@
 	void keepsThePromisesUnderFaults(long seed) {
 		SimulatedFleet fleet = new SimulatedFleet(seed, 3, 6, true);
 		fleet.run(MILLIS, 60);
-		assertEquals(String.join("\n", fleet.broken), "");
-		assertTrue(fleet.completed > fleet.submitted / 3, fleet.completed + " of " + fleet.submitted);
+		Assert.assertEquals(String.join("\n", fleet.broken), "");
+		Assert.assertTrue(fleet.completed > fleet.submitted / 3, fleet.completed + " of " + fleet.submitted);
 	}
 
 	@Test
 	void servesAllWithoutFaults() {
 		SimulatedFleet fleet = new SimulatedFleet(1, 3, 6, false);
 		fleet.run(MILLIS, 90);
-		assertEquals(String.join("\n", fleet.broken), "");
-		assertTrue(fleet.completed > 0.85 * fleet.submitted, fleet.completed + " of " + fleet.submitted);
+		Assert.assertEquals(String.join("\n", fleet.broken), "");
+		Assert.assertTrue(fleet.completed > 0.85 * fleet.submitted, fleet.completed + " of " + fleet.submitted);
 	}
 
 }
--- a/core/src/test/java/org/baobabspar/supervise/EndpointHealthTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/EndpointHealthTests.java
@@ -3,12 +3,9 @@
 import org.baobabspar.fleet.Room;
 import org.baobabspar.fleet.RunEnd;
 import org.baobabspar.fleet.RunKey;
+import org.testng.Assert;
 import org.testng.annotations.Test;
 
-import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertFalse;
-import static org.testng.Assert.assertTrue;
-
 /**
  * Tests of {@link EndpointHealth} with the patterns of bad endpoints.
  */
@@ -31,7 +28,7 @@
 			for (int i = 0; i < 40; i++) {
 				h.ended(run("j" + i), RunEnd.DONE, (i % 2 == 0) ? 140 : 190, 100L * i);
 			}
-			assertEquals(h.speed(4_000), 0.61, 0.06);
+			Assert.assertEquals(h.speed(4_000), 0.61, 0.06);
 		}
 
 	}
@@ -54,15 +51,15 @@
 
 		@Test
 		void showInRunsThatAreBehind() {
-			assertTrue(slowed().speed(3_700) < 0.45);
+			Assert.assertTrue(slowed().speed(3_700) < 0.45);
 		}
 
 		@Test
 		void areForgottenWhenNoRunTellsOfThem() {
 			EndpointHealth h = slowed();
-			assertTrue(h.speed(4_500) < 0.5);
-			assertTrue(h.speed(6_700) > 0.5);
-			assertTrue(h.speed(9_700) > 0.8);
+			Assert.assertTrue(h.speed(4_500) < 0.5);
+			Assert.assertTrue(h.speed(6_700) > 0.5);
+			Assert.assertTrue(h.speed(9_700) > 0.8);
 		}
 
 	}
@@ -77,7 +74,7 @@
 			EndpointHealth h = new EndpointHealth();
 			h.ended(run("a"), RunEnd.FAILED, 10, 1_000);
 			h.ended(run("a"), RunEnd.FAILED, 10, 1_010);
-			assertFalse(h.aside(1_011));
+			Assert.assertFalse(h.aside(1_011));
 		}
 
 		@Test
@@ -85,11 +82,11 @@
 			EndpointHealth h = new EndpointHealth();
 			h.ended(run("a"), RunEnd.FAILED, 10, 1_000);
 			h.ended(run("b"), RunEnd.FAILED, 10, 1_000);
-			assertTrue(h.aside(1_499));
-			assertFalse(h.aside(1_500));
-			assertTrue(h.onTrial());
+			Assert.assertTrue(h.aside(1_499));
+			Assert.assertFalse(h.aside(1_500));
+			Assert.assertTrue(h.onTrial());
 			h.ended(run("c"), RunEnd.FAILED, 10, 1_600);
-			assertTrue(h.aside(2_599));
+			Assert.assertTrue(h.aside(2_599));
 		}
 
 		@Test
@@ -98,8 +95,8 @@
 			h.ended(run("a"), RunEnd.FAILED, 10, 1_000);
 			h.ended(run("b"), RunEnd.FAILED, 10, 1_000);
 			h.ended(run("c"), RunEnd.DONE, 100, 1_600);
-			assertFalse(h.aside(1_600));
-			assertFalse(h.onTrial());
+			Assert.assertFalse(h.aside(1_600));
+			Assert.assertFalse(h.onTrial());
 		}
 
 	}
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
@@ -14,13 +14,10 @@
 import org.baobabspar.message.Message;
 import org.baobabspar.message.RunEnded;
 import org.baobabspar.message.RunStart;
+import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertFalse;
-import static org.testng.Assert.assertTrue;
-
 /**
  * Tests of {@link RunSupervisor} with a clock and an endpoint under control.
  */
@@ -146,7 +143,7 @@
 			attach(1);
 			link();
 			order("t1");
-			assertEquals(this.driver.starts.size(), 1);
+			Assert.assertEquals(this.driver.starts.size(), 1);
 		}
 
 		@Test
@@ -156,8 +153,8 @@
 			pass(LeaseTimes.ENTRY_LEASE_MILLIS + 1);
 			observe(1, List.of(), List.of());
 			order("t1");
-			assertTrue(this.driver.starts.isEmpty());
-			assertEquals(ends(), List.of(RunEnd.REFUSED));
+			Assert.assertTrue(this.driver.starts.isEmpty());
+			Assert.assertEquals(ends(), List.of(RunEnd.REFUSED));
 		}
 
 		@Test
@@ -167,7 +164,7 @@
 			RunStart late = new RunStart(1, new RunKey("job", "t1", 1), "payload", CORE, 100,
 					this.nowMillis - LeaseTimes.ENTRY_LEASE_MILLIS - 1);
 			this.supervisor.start(LINK, late, this.nowMillis);
-			assertTrue(this.driver.starts.isEmpty());
+			Assert.assertTrue(this.driver.starts.isEmpty());
 		}
 
 		@Test
@@ -177,8 +174,8 @@
 			for (int i = 0; i < 5; i++) {
 				order("t" + i);
 			}
-			assertEquals(this.driver.starts.size(), 4);
-			assertEquals(ends(), List.of(RunEnd.REFUSED));
+			Assert.assertEquals(this.driver.starts.size(), 4);
+			Assert.assertEquals(ends(), List.of(RunEnd.REFUSED));
 		}
 
 		@Test
@@ -190,7 +187,7 @@
 			this.supervisor.granted("entry-2", new LeaseGrant(this.nowMillis, 0));
 			this.supervisor.start("entry-2",
 					new RunStart(1, new RunKey("job", "t2", 1), "payload", CORE, 100, this.nowMillis), this.nowMillis);
-			assertEquals(this.driver.starts.size(), 1);
+			Assert.assertEquals(this.driver.starts.size(), 1);
 		}
 
 		@Test
@@ -200,7 +197,7 @@
 			this.supervisor.report(new EndpointReport("endpoint-1", 1, 2, "service", CORE.times(4), List.of(), true),
 					this.nowMillis);
 			order("t1");
-			assertTrue(this.driver.starts.isEmpty());
+			Assert.assertTrue(this.driver.starts.isEmpty());
 		}
 
 	}
@@ -217,9 +214,9 @@
 			RunKey run = running("t1");
 			this.supervisor.stop(LINK, run, this.nowMillis);
 			this.supervisor.stopConfirmed("t1", 1, this.nowMillis);
-			assertEquals(this.supervisor.status(0, this.nowMillis).free(), CORE.times(3));
+			Assert.assertEquals(this.supervisor.status(0, this.nowMillis).free(), CORE.times(3));
 			observe(1, List.of(), List.of(new EndedRun(1, "t1", 1, RunEnd.STOPPED)));
-			assertEquals(this.supervisor.status(0, this.nowMillis).free(), CORE.times(4));
+			Assert.assertEquals(this.supervisor.status(0, this.nowMillis).free(), CORE.times(4));
 		}
 
 		@Test
@@ -227,10 +224,10 @@
 			this.supervisor.report(new EndpointReport("endpoint-1", 1, 1, "service", CORE.times(4), List.of(), false),
 					this.nowMillis);
 			observe(1, List.of(new PresentRun("old", 3, 0)), List.of());
-			assertEquals(state(), EndpointState.SILENT);
-			assertEquals(this.driver.stops, List.of("old#3"));
+			Assert.assertEquals(state(), EndpointState.SILENT);
+			Assert.assertEquals(this.driver.stops, List.of("old#3"));
 			observe(1, List.of(), List.of());
-			assertEquals(state(), EndpointState.READY);
+			Assert.assertEquals(state(), EndpointState.READY);
 		}
 
 	}
@@ -246,12 +243,12 @@
 			link();
 			RunKey run = order("t1");
 			this.supervisor.startAnswered(run, StartAnswer.UNKNOWN, this.nowMillis);
-			assertEquals(this.driver.probes, 1);
+			Assert.assertEquals(this.driver.probes, 1);
 			this.supervisor.probed(
 					Optional.of(new Observation(this.nowMillis, 1, List.of(new PresentRun("t1", 1, 10)), List.of())),
 					this.nowMillis);
-			assertTrue(this.driver.stops.isEmpty());
-			assertTrue(ends().isEmpty());
+			Assert.assertTrue(this.driver.stops.isEmpty());
+			Assert.assertTrue(ends().isEmpty());
 		}
 
 		@Test
@@ -262,14 +259,14 @@
 			this.supervisor.startAnswered(run, StartAnswer.UNKNOWN, this.nowMillis);
 			pass(10);
 			observe(1, List.of(), List.of());
-			assertEquals(this.driver.stops, List.of("t1#1"));
+			Assert.assertEquals(this.driver.stops, List.of("t1#1"));
 			observe(1, List.of(), List.of());
-			assertTrue(ends().isEmpty());
+			Assert.assertTrue(ends().isEmpty());
 			pass(10);
 			this.supervisor.stopConfirmed("t1", 1, this.nowMillis);
 			pass(10);
 			observe(1, List.of(), List.of());
-			assertEquals(ends(), List.of(RunEnd.NUMBER_USED));
+			Assert.assertEquals(ends(), List.of(RunEnd.NUMBER_USED));
 		}
 
 		@Test
@@ -280,7 +277,7 @@
 			this.supervisor.startAnswered(run, StartAnswer.UNKNOWN, this.nowMillis);
 			observe(1, List.of(), List.of());
 			pass(100);
-			assertEquals(this.driver.stops, List.of("t1#1", "t1#1"));
+			Assert.assertEquals(this.driver.stops, List.of("t1#1", "t1#1"));
 		}
 
 	}
@@ -296,7 +293,7 @@
 			link();
 			running("t1");
 			pass(LeaseTimes.ENTRY_LEASE_MILLIS);
-			assertEquals(this.driver.stops, List.of("t1#1"));
+			Assert.assertEquals(this.driver.stops, List.of("t1#1"));
 		}
 
 		@Test
@@ -308,7 +305,7 @@
 			pass(LeaseTimes.ENTRY_LEASE_MILLIS - 10);
 			this.supervisor.granted(LINK, new LeaseGrant(asked, 0));
 			pass(10);
-			assertEquals(this.driver.stops, List.of("t1#1"));
+			Assert.assertEquals(this.driver.stops, List.of("t1#1"));
 		}
 
 		@Test
@@ -320,7 +317,7 @@
 			pass(100);
 			link();
 			pass(LeaseTimes.ENTRY_LEASE_MILLIS - 10);
-			assertTrue(this.driver.stops.isEmpty());
+			Assert.assertTrue(this.driver.stops.isEmpty());
 		}
 
 		@Test
@@ -329,10 +326,10 @@
 			link();
 			running("t1");
 			observe(1, List.of(new PresentRun("t1", 1, 0)), List.of());
-			assertEquals(this.driver.lastLease, LeaseTimes.ENDPOINT_LEASE_MILLIS);
+			Assert.assertEquals(this.driver.lastLease, LeaseTimes.ENDPOINT_LEASE_MILLIS);
 			this.supervisor.lookFailed(this.nowMillis);
 			pass(30);
-			assertEquals(this.driver.lastLease, 0);
+			Assert.assertEquals(this.driver.lastLease, 0);
 		}
 
 		@Test
@@ -342,19 +339,19 @@
 			running("t1");
 			long last = this.nowMillis;
 			while (this.nowMillis <= last + LeaseTimes.ENDPOINT_LAPSE_MILLIS) {
-				assertTrue(ends().isEmpty());
+				Assert.assertTrue(ends().isEmpty());
 				grant();
 				this.supervisor.lookFailed(this.nowMillis);
 				pass(20);
 			}
-			assertEquals(ends(), List.of(RunEnd.LOST));
+			Assert.assertEquals(ends(), List.of(RunEnd.LOST));
 		}
 
 		@Test
 		void leaveTimeForBothBeforeAnEntryStartsElsewhere() {
-			assertTrue(LeaseTimes.LOSS_MILLIS > LeaseTimes.ENTRY_LEASE_MILLIS
+			Assert.assertTrue(LeaseTimes.LOSS_MILLIS > LeaseTimes.ENTRY_LEASE_MILLIS
 					+ LeaseTimes.ENDPOINT_LEASE_MILLIS * LeaseTimes.DRIFT + LeaseTimes.STOP_MILLIS);
-			assertTrue(LeaseTimes.LOSS_MILLIS < 1_300);
+			Assert.assertTrue(LeaseTimes.LOSS_MILLIS < 1_300);
 		}
 
 	}
@@ -370,7 +367,7 @@
 			link();
 			this.supervisor.welcomed("entry-2", new EntryWelcome("entry-2", 7, List.of(), 0, 0), this.nowMillis);
 			running("t1");
-			assertEquals(this.driver.starts.size(), 1);
+			Assert.assertEquals(this.driver.starts.size(), 1);
 			List<String> links = new ArrayList<>();
 			RunSupervisor s = new RunSupervisor("agent-1", 1, "domain-1", 100, this.driver,
 					(link, m) -> links.add(link), (line) -> {
@@ -379,7 +376,7 @@
 			s.welcomed("entry-2", new EntryWelcome("entry-2", 7, List.of(), 0, 0), this.nowMillis);
 			links.clear();
 			s.tick(this.nowMillis + 100);
-			assertEquals(links.stream().sorted().toList(), List.of(LINK, "entry-2"));
+			Assert.assertEquals(links.stream().sorted().toList(), List.of(LINK, "entry-2"));
 		}
 
 	}
@@ -397,7 +394,7 @@
 			attach(2);
 			pass(1);
 			observe(2, List.of(), List.of());
-			assertEquals(ends(), List.of(RunEnd.LOST));
+			Assert.assertEquals(ends(), List.of(RunEnd.LOST));
 		}
 
 		@Test
@@ -408,8 +405,8 @@
 			attach(2);
 			pass(1);
 			observe(2, List.of(new PresentRun("t1", 1, 1)), List.of());
-			assertTrue(ends().isEmpty());
-			assertEquals(this.supervisor.status(0, this.nowMillis).free(), CORE.times(3));
+			Assert.assertTrue(ends().isEmpty());
+			Assert.assertEquals(this.supervisor.status(0, this.nowMillis).free(), CORE.times(3));
 		}
 
 		@Test
@@ -419,7 +416,7 @@
 			running("t1");
 			this.supervisor.report(new EndpointReport("endpoint-2", 2, 1, "service", CORE.times(4), List.of(), false),
 					this.nowMillis);
-			assertEquals(ends(), List.of(RunEnd.LOST));
+			Assert.assertEquals(ends(), List.of(RunEnd.LOST));
 		}
 
 		@Test
@@ -429,19 +426,19 @@
 			running("t1");
 			this.supervisor.report(new EndpointReport("endpoint-1", 1, 99, "service", CORE, List.of(), false),
 					this.nowMillis);
-			assertTrue(ends().isEmpty());
-			assertEquals(this.supervisor.status(0, this.nowMillis).capacity(), CORE.times(4));
+			Assert.assertTrue(ends().isEmpty());
+			Assert.assertEquals(this.supervisor.status(0, this.nowMillis).capacity(), CORE.times(4));
 		}
 
 		@Test
 		void aRememberedOneIsUsedOnceItHasAnswered() {
 			this.supervisor.remember(new EndpointReport("endpoint-1", 5, 0, "service", CORE.times(4), List.of(), false),
 					this.nowMillis);
-			assertEquals(state(), EndpointState.SILENT);
+			Assert.assertEquals(state(), EndpointState.SILENT);
 			observe(4, List.of(), List.of());
-			assertEquals(state(), EndpointState.SILENT);
+			Assert.assertEquals(state(), EndpointState.SILENT);
 			observe(5, List.of(), List.of());
-			assertEquals(state(), EndpointState.READY);
+			Assert.assertEquals(state(), EndpointState.READY);
 		}
 
 		@Test
@@ -449,7 +446,7 @@
 			this.supervisor.remember(new EndpointReport("endpoint-1", 5, 0, "service", CORE.times(4), List.of(), false),
 					this.nowMillis);
 			attach(4);
-			assertEquals(state(), EndpointState.READY);
+			Assert.assertEquals(state(), EndpointState.READY);
 		}
 
 		@Test
@@ -458,7 +455,7 @@
 			long before = this.driver.lastFence;
 			this.supervisor.fenced(this.nowMillis);
 			pass(30);
-			assertTrue(this.driver.lastFence > before);
+			Assert.assertTrue(this.driver.lastFence > before);
 		}
 
 	}
@@ -475,14 +472,14 @@
 			running("t1");
 			this.supervisor.unlinked(LINK);
 			observe(1, List.of(), List.of(new EndedRun(1, "t1", 1, RunEnd.DONE)));
-			assertTrue(ends().isEmpty());
+			Assert.assertTrue(ends().isEmpty());
 			link();
-			assertEquals(ends(), List.of(RunEnd.DONE));
+			Assert.assertEquals(ends(), List.of(RunEnd.DONE));
 			this.supervisor.granted(LINK, new LeaseGrant(this.nowMillis, 1));
 			this.supervisor.unlinked(LINK);
 			this.sent.clear();
 			link();
-			assertTrue(ends().isEmpty());
+			Assert.assertTrue(ends().isEmpty());
 		}
 
 		@Test
@@ -492,7 +489,7 @@
 			running("t1");
 			observe(1, List.of(), List.of(new EndedRun(1, "t1", 1, RunEnd.DONE)));
 			observe(1, List.of(), List.of(new EndedRun(1, "t1", 1, RunEnd.DONE)));
-			assertEquals(ends(), List.of(RunEnd.DONE));
+			Assert.assertEquals(ends(), List.of(RunEnd.DONE));
 		}
 
 	}
@@ -510,10 +507,10 @@
 				RunKey run = new RunKey("job" + i, "t" + i, 1);
 				this.supervisor.start(LINK, new RunStart(i, run, "", CORE, 100, this.nowMillis), this.nowMillis);
 				this.supervisor.startAnswered(run, StartAnswer.STARTED, this.nowMillis);
-				assertEquals(state(), EndpointState.READY);
+				Assert.assertEquals(state(), EndpointState.READY);
 				observe(1, List.of(), List.of(new EndedRun(i, "t" + i, 1, RunEnd.FAILED)));
 			}
-			assertEquals(state(), EndpointState.SUSPECT);
+			Assert.assertEquals(state(), EndpointState.SUSPECT);
 		}
 
 		@Test
@@ -526,7 +523,7 @@
 				grant();
 				pass(50);
 			}
-			assertFalse(this.driver.stops.isEmpty());
+			Assert.assertFalse(this.driver.stops.isEmpty());
 		}
 
 	}
@@ -546,7 +543,7 @@
 			order("t2");
 			this.supervisor.flush(this.nowMillis);
 			this.supervisor.flush(this.nowMillis);
-			assertEquals(this.sent.stream().filter(LeaseRequest.class::isInstance).count(), 1);
+			Assert.assertEquals(this.sent.stream().filter(LeaseRequest.class::isInstance).count(), 1);
 		}
 
 	}
--- a/daemon/src/test/java/org/baobabspar/node/StopPhaseTests.java
+++ b/daemon/src/test/java/org/baobabspar/node/StopPhaseTests.java
@@ -1,10 +1,9 @@
 package org.baobabspar.node;
 
+import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import static org.testng.Assert.assertEquals;
-
 /**
  * Tests of {@link StopPhase}.
  */
@@ -21,7 +20,7 @@
 
 	@Test(dataProvider = "phases")
 	void followsTheTimeAndTheOpenJobs(long sinceMillis, long graceMillis, long open, StopPhase expected) {
-		assertEquals(StopPhase.of(sinceMillis, graceMillis, open), expected);
+		Assert.assertEquals(StopPhase.of(sinceMillis, graceMillis, open), expected);
 	}
 
 }
