--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
@@ -16,6 +16,7 @@
 import org.baobabspar.fleet.JobOrder;
 import org.baobabspar.fleet.Room;
 import org.baobabspar.fleet.Route;
+import org.baobabspar.fleet.RunEnd;
 import org.baobabspar.fleet.RunKey;
 import org.baobabspar.fleet.Step;
 import org.baobabspar.message.EntryWelcome;
@@ -26,6 +27,7 @@
 import org.baobabspar.message.RunStart;
 import org.baobabspar.message.RunStop;
 import org.baobabspar.message.SupervisorHello;
+import org.baobabspar.supervise.EndedRun;
 import org.baobabspar.supervise.EndpointDriver;
 import org.baobabspar.supervise.EndpointReport;
 import org.baobabspar.supervise.Observation;
@@ -627,9 +629,9 @@
 
 		private Observation observe(long sent, long confirmed) {
 			this.endpoint.work(SimulatedFleet.this.now);
-			List<org.baobabspar.supervise.EndedRun> ended = this.endpoint.ended(confirmed);
+			List<EndedRun> ended = this.endpoint.ended(confirmed);
 			ended.stream()
-				.filter((e) -> e.end() == org.baobabspar.fleet.RunEnd.DONE)
+				.filter((e) -> e.end() == RunEnd.DONE)
 				.forEach((e) -> SimulatedFleet.this.calls.get(e.task().split("/")[0]).done.add(e.task()));
 			return new Observation(sent, this.endpoint.bornMillis, this.endpoint.present(SimulatedFleet.this.now),
 					ended);
