Remove a counter that nothing counts and two switches that no test sets

Cause: NodeMetrics.event was never called; SimulatedEndpoint.failsAll and hangs were never set, so they only looked like coverage. Ruled out: behaviour, none of them was reachable. Before and after: the same. mvn -B verify of core, wire, daemon and platform with the simulated fleet (40 histories), the rehearsal and the stop phases: BUILD SUCCESS; the other tests were not run again.

--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedEndpoint.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedEndpoint.java
@@ -38,10 +38,6 @@
 
 	private double leaseUntil;
 
-	boolean failsAll;
-
-	boolean hangs;
-
 	SimulatedEndpoint(double clockRate) {
 		this.clockRate = clockRate;
 	}
@@ -72,8 +68,8 @@
 			else if (p.stopAtMillis > 0 && nowMillis >= p.stopAtMillis) {
 				end(p, RunEnd.STOPPED);
 			}
-			else if (!this.hangs && nowMillis >= p.startMillis + p.workMillis) {
-				end(p, this.failsAll ? RunEnd.FAILED : RunEnd.DONE);
+			else if (nowMillis >= p.startMillis + p.workMillis) {
+				end(p, RunEnd.DONE);
 			}
 		}
 	}
--- a/daemon/src/main/java/org/baobabspar/node/NodeMetrics.java
+++ b/daemon/src/main/java/org/baobabspar/node/NodeMetrics.java
@@ -33,25 +33,11 @@
 		.labelNames("route", "outcome")
 		.register(this.registry);
 
-	private final Counter events = Counter.builder()
-		.name("baobabspar_events_total")
-		.help("Decisions by kind")
-		.labelNames("kind")
-		.register(this.registry);
-
 	void ended(String route, JobReply reply, long millis) {
 		this.jobs.labelValues(route, reply.outcome().name()).inc();
 		this.seconds.labelValues(route, reply.outcome().name()).observe(millis / MILLIS_PER_SECOND);
 	}
 
-	/**
-	 * Count a decision.
-	 * @param kind its kind
-	 */
-	public void event(String kind) {
-		this.events.labelValues(kind).inc();
-	}
-
 	/**
 	 * Write everything as text.
 	 * @return the page
