--- a/wire/src/main/java/org/baobabspar/wire/Links.java
+++ b/wire/src/main/java/org/baobabspar/wire/Links.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.resolver.DefaultAddressResolverGroup;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.baobabspar.message.Message;
@@ -156,6 +157,7 @@
 			.host(address.substring(0, colon))
 			.port(Integer.parseInt(address.substring(colon + 1)))
 			.runOn(this.loops)
+			.resolver(DefaultAddressResolverGroup.INSTANCE)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
