An endpoint without a listener gets no runs; starts that were not sent are given back at once

Cause: when power is back, agents open up to 24 connections to their endpoint at once and links are dialled again after 100, 200, 400 ms while entries listen 150 to 300 ms later; a start for which no connection was to be had counted as unanswered and was stopped and looked for, though it had never left. Ruled out: garbage collection (four pauses of 2 to 5 ms in a start), initial heap sizes (no difference).

--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -262,7 +262,7 @@
 		if (!current(o)) {
 			return;
 		}
-		boolean wasUsable = this.looked && this.answered && this.strays.isEmpty();
+		boolean wasUsable = !silent(nowMillis) && this.answered && this.strays.isEmpty();
 		this.answered = true;
 		take(o, nowMillis);
 		this.looked = true;
@@ -370,6 +370,19 @@
 		this.lookAgainMillis = nowMillis + LOOK_RETRY_MILLIS;
 	}
 
+	/**
+	 * Take it that the endpoint does not even take connections: it gets no new runs until
+	 * it answers again.
+	 * @param nowMillis the time
+	 */
+	public void unreachable(long nowMillis) {
+		if (!silent(nowMillis)) {
+			this.log.accept("endpoint=" + this.endpoint.endpointId() + " state=unreachable");
+			this.lastAnswerMillis = nowMillis - SILENT_MILLIS - 1;
+			this.owners.stateChanged();
+		}
+	}
+
 	/**
 	 * Take it that the endpoint knows a higher fencing token.
 	 * @param nowMillis the time
@@ -470,6 +483,9 @@
 			}
 		}
 		else {
+			if (a == StartAnswer.NOT_SENT) {
+				unreachable(nowMillis);
+			}
 			this.log.accept("refused run=" + run.task() + "#" + run.number() + " answer=" + a);
 			finish(r, a.end().orElseThrow(), nowMillis);
 		}
--- a/core/src/main/java/org/baobabspar/supervise/StartAnswer.java
+++ b/core/src/main/java/org/baobabspar/supervise/StartAnswer.java
@@ -24,6 +24,9 @@
 	/** Another lifetime of the endpoint answered; nothing was done. */
 	OTHER_LIFETIME(RunEnd.REFUSED),
 
+	/** The start could not be sent. */
+	NOT_SENT(RunEnd.REFUSED),
+
 	/** No answer; the start may happen yet. */
 	UNKNOWN(null);
 
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
@@ -581,6 +581,37 @@
 
 	}
 
+	/**
+	 * An endpoint that takes no connections.
+	 */
+	public static class Unreachable extends RunSupervisorTests {
+
+		@Test
+		void aStartThatCouldNotBeSentIsGivenBackAndNoMoreAreTaken() {
+			attach(1);
+			link();
+			RunKey run = order("t1");
+			this.supervisor.startAnswered(run, StartAnswer.NOT_SENT, this.nowMillis);
+			Assert.assertEquals(ends(), List.of(RunEnd.REFUSED));
+			Assert.assertEquals(state(), EndpointState.SILENT);
+			observe(1, List.of(), List.of());
+			Assert.assertEquals(state(), EndpointState.READY);
+		}
+
+		@Test
+		void itsRunsAreLostOnlyOnceTheirLeaseHasLapsed() {
+			attach(1);
+			link();
+			running("t1");
+			this.supervisor.unreachable(this.nowMillis);
+			this.supervisor.lookFailed(this.nowMillis);
+			grant();
+			pass(LeaseTimes.ENTRY_LEASE_MILLIS - 10);
+			Assert.assertEquals(ends(), List.of());
+		}
+
+	}
+
 	/**
 	 * Links that are no longer wanted.
 	 */
--- a/wire/src/main/java/org/baobabspar/wire/Links.java
+++ b/wire/src/main/java/org/baobabspar/wire/Links.java
@@ -59,7 +59,10 @@
 
 	private static final int CONNECT_MILLIS = 1_000;
 
-	private static final long MIN_RETRY_MILLIS = 100;
+	/** Processes that start together find each other within a few of these. */
+	private static final long MIN_RETRY_MILLIS = 40;
+
+	private static final double RETRY_GROWTH = 1.4;
 
 	private static final long MAX_RETRY_MILLIS = 1_000;
 
@@ -176,7 +179,7 @@
 	}
 
 	private void retry(String address, long retryMillis) {
-		long next = Math.min(MAX_RETRY_MILLIS, 2 * retryMillis);
+		long next = Math.min(MAX_RETRY_MILLIS, Math.round(RETRY_GROWTH * retryMillis));
 		Mono.delay(Duration.ofMillis(retryMillis)).subscribe((t) -> open(address, next));
 	}
 
