Welcomes without a list of entries

Cause: the list held only the entry that sent it, which the agent had dialled already; a proxy between them cannot be put there while an entry names itself. Ruled out: any other reader of the list (none). Before and after: the simulated fleet, supervisor, frame and rehearsal tests pass. Conclusion: removed.

--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
@@ -691,7 +691,7 @@
 				}
 				this.open = true;
 				this.agent.process.deliver(() -> this.agent.heard.put(this.entry.number, SimulatedFleet.this.now));
-				toAgent(new EntryWelcome("entry-" + this.entry.number, this.entry.incarnation, List.of(),
+				toAgent(new EntryWelcome("entry-" + this.entry.number, this.entry.incarnation,
 						this.entry.dispatcher.linked(String.valueOf(this.agent.number)), 0));
 			});
 		}
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
@@ -55,7 +55,7 @@
 	}
 
 	void link() {
-		this.supervisor.welcomed(LINK, new EntryWelcome("entry-1", 7, List.of(), 0, 0), this.nowMillis);
+		this.supervisor.welcomed(LINK, new EntryWelcome("entry-1", 7, 0, 0), this.nowMillis);
 		grant();
 	}
 
@@ -183,7 +183,7 @@
 			attach(1);
 			link();
 			running("t1");
-			this.supervisor.welcomed("entry-2", new EntryWelcome("entry-2", 8, List.of(), 0, 0), this.nowMillis);
+			this.supervisor.welcomed("entry-2", new EntryWelcome("entry-2", 8, 0, 0), this.nowMillis);
 			this.supervisor.granted("entry-2", new LeaseGrant(this.nowMillis, 0));
 			this.supervisor.start("entry-2",
 					new RunStart(1, new RunKey("job", "t2", 1), "payload", CORE, 100, this.nowMillis), this.nowMillis);
@@ -365,15 +365,15 @@
 		void thatStartedInTheSameMillisecondAreKeptApart() {
 			attach(1);
 			link();
-			this.supervisor.welcomed("entry-2", new EntryWelcome("entry-2", 7, List.of(), 0, 0), this.nowMillis);
+			this.supervisor.welcomed("entry-2", new EntryWelcome("entry-2", 7, 0, 0), this.nowMillis);
 			running("t1");
 			Assert.assertEquals(this.driver.starts.size(), 1);
 			List<String> links = new ArrayList<>();
 			RunSupervisor s = new RunSupervisor("agent-1", 1, "domain-1", 100, this.driver,
 					(link, m) -> links.add(link), (line) -> {
 					});
-			s.welcomed(LINK, new EntryWelcome("entry-1", 7, List.of(), 0, 0), this.nowMillis);
-			s.welcomed("entry-2", new EntryWelcome("entry-2", 7, List.of(), 0, 0), this.nowMillis);
+			s.welcomed(LINK, new EntryWelcome("entry-1", 7, 0, 0), this.nowMillis);
+			s.welcomed("entry-2", new EntryWelcome("entry-2", 7, 0, 0), this.nowMillis);
 			links.clear();
 			s.flush(this.nowMillis + 100);
 			Assert.assertEquals(links.stream().sorted().toList(), List.of(LINK, "entry-2"));
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -176,7 +176,6 @@
 			this.supervisor.stop(link, r.run(), now);
 		}
 		else if (m instanceof EntryWelcome w) {
-			discover(w.entries());
 			if (this.routing != null && this.routing.version() > w.routingVersion()) {
 				this.links.send(link, new RoutingNotice(this.routing));
 			}
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -1,11 +1,8 @@
 package org.baobabspar.node;
 
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 
@@ -67,8 +64,6 @@
 
 	private final AtomicReference<RoutingTable> table = new AtomicReference<>();
 
-	private final Collection<String> entries = new ConcurrentSkipListSet<>();
-
 	private final Map<String, Long> routingSent = new HashMap<>();
 
 	private long routingPassedMillis;
@@ -111,7 +106,6 @@
 	 */
 	public int start(String host, int port) {
 		int bound = this.links.listen(host, port);
-		this.entries.add(host + ":" + bound);
 		this.control.every(TICK_MILLIS, this::tick);
 		LOG.info("entry: start name={} incarnation={} links={}:{}", this.name, this.incarnation, host, bound);
 		return bound;
@@ -296,8 +290,8 @@
 
 	@Override
 	public void up(String link) {
-		this.links.send(link, new EntryWelcome(this.name, this.incarnation, List.copyOf(this.entries),
-				this.dispatcher.linked(link), routingVersion()));
+		this.links.send(link,
+				new EntryWelcome(this.name, this.incarnation, this.dispatcher.linked(link), routingVersion()));
 		this.routingSent.put(link, 0L);
 	}
 
