--- a/core/src/main/java/org/baobabspar/supervise/EndpointHealth.java
+++ b/core/src/main/java/org/baobabspar/supervise/EndpointHealth.java
@@ -26,6 +26,9 @@
 
 	private static final int FIRST_SAMPLES = 8;
 
+	/** A remembered speed counts as much as so many samples. */
+	private static final int REMEMBERED_SAMPLES = 4;
+
 	private static final double MAX_SPEED_STEP = 3;
 
 	private static final double MAX_USUAL_STEP = 1.5;
@@ -146,11 +149,31 @@
 		return this.trial;
 	}
 
-	void reset() {
+	/**
+	 * Return the speed in usual times.
+	 * @return the speed, 1 before anything is known
+	 */
+	double usualSpeed() {
+		return Math.exp(this.logUsual);
+	}
+
+	/**
+	 * Tell whether enough runs have ended to trust the usual speed.
+	 * @return whether it is known
+	 */
+	boolean speedKnown() {
+		return this.samples >= FIRST_SAMPLES;
+	}
+
+	/**
+	 * Begin with another lifetime.
+	 * @param usualSpeed the speed to expect, 1 if nothing is known
+	 */
+	void reset(double usualSpeed) {
 		succeeded();
-		this.logSpeed = 0;
-		this.logUsual = 0;
-		this.samples = 0;
+		this.logSpeed = Math.log(usualSpeed);
+		this.logUsual = this.logSpeed;
+		this.samples = (usualSpeed != 1) ? REMEMBERED_SAMPLES : 0;
 		this.sampleMillis = 0;
 	}
 
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -57,6 +57,12 @@
 
 	private static final int MAX_ENDS_LISTED = 500;
 
+	/** Time between two records of the endpoint's speed; each call to the store costs. */
+	private static final long MEMO_MILLIS = 5_000;
+
+	/** Change of the speed, as a logarithm, that is worth a record. */
+	private static final double MEMO_SPEED_CHANGE = 0.15;
+
 	private final String agent;
 
 	private final long incarnation;
@@ -77,6 +83,10 @@
 
 	private EndpointReport endpoint;
 
+	private EndpointMemo recorded;
+
+	private long recordedMillis;
+
 	private Set<String> strays = new HashSet<>();
 
 	private boolean looked;
@@ -151,14 +161,44 @@
 	 * Take up what an earlier lifetime of this agent has stored of its endpoint, so that
 	 * a restarted agent need not wait for a report. The endpoint is used once it has
 	 * answered as that lifetime.
-	 * @param r the last report
+	 * @param memo what was stored
 	 * @param nowMillis the time
 	 */
-	public void remember(EndpointReport r, long nowMillis) {
+	public void remember(EndpointMemo memo, long nowMillis) {
+		this.recorded = memo;
+		EndpointReport r = memo.report();
+		this.log.accept("endpoint=" + r.endpointId() + " born=" + r.bornMillis() + " state=remembered speed="
+				+ memo.usualSpeed());
 		if (this.endpoint == null) {
-			this.log.accept("endpoint=" + r.endpointId() + " born=" + r.bornMillis() + " state=remembered");
 			attach(r, nowMillis);
 		}
+		if (sameHardware(r, this.endpoint) && !this.health.speedKnown()) {
+			this.health.reset(memo.usualSpeed());
+		}
+	}
+
+	private static boolean sameHardware(EndpointReport a, EndpointReport b) {
+		return a.capacity().equals(b.capacity()) && a.labels().equals(b.labels());
+	}
+
+	/**
+	 * Give what should be stored of the endpoint, if that has changed.
+	 * @param nowMillis the time
+	 * @return what to store, empty if nothing new is worth it
+	 */
+	public Optional<EndpointMemo> memo(long nowMillis) {
+		if (this.endpoint == null || (this.recorded != null && !news(nowMillis))) {
+			return Optional.empty();
+		}
+		this.recorded = new EndpointMemo(this.endpoint, this.health.usualSpeed());
+		this.recordedMillis = nowMillis;
+		return Optional.of(this.recorded);
+	}
+
+	private boolean news(long nowMillis) {
+		double change = Math.abs(Math.log(this.health.usualSpeed() / this.recorded.usualSpeed()));
+		return this.recorded.report().bornMillis() != this.endpoint.bornMillis() || (this.health.speedKnown()
+				&& change > MEMO_SPEED_CHANGE && nowMillis - this.recordedMillis > MEMO_MILLIS);
 	}
 
 	/**
@@ -177,13 +217,14 @@
 		else {
 			loseAll("new_endpoint", nowMillis);
 		}
+		double speed = (this.endpoint != null && sameHardware(r, this.endpoint)) ? this.health.usualSpeed() : 1;
 		this.strays = new HashSet<>();
 		this.endpoint = r;
 		this.fence++;
 		this.looked = false;
 		this.answered = false;
 		this.confirmedEnds = 0;
-		this.health.reset();
+		this.health.reset(speed);
 		this.lastAnswerMillis = nowMillis;
 		this.driver.attach(r);
 		this.looking = false;
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
@@ -85,6 +85,11 @@
 		this.supervisor.tick(this.nowMillis);
 	}
 
+	static EndpointMemo memo(double speed) {
+		return new EndpointMemo(new EndpointReport("endpoint-1", 5, 0, "service", CORE.times(4), List.of(), false),
+				speed);
+	}
+
 	List<RunEnd> ends() {
 		return this.sent.stream().filter(RunEnded.class::isInstance).map((m) -> ((RunEnded) m).end()).toList();
 	}
@@ -432,8 +437,7 @@
 
 		@Test
 		void aRememberedOneIsUsedOnceItHasAnswered() {
-			this.supervisor.remember(new EndpointReport("endpoint-1", 5, 0, "service", CORE.times(4), List.of(), false),
-					this.nowMillis);
+			this.supervisor.remember(memo(1), this.nowMillis);
 			Assert.assertEquals(state(), EndpointState.SILENT);
 			observe(4, List.of(), List.of());
 			Assert.assertEquals(state(), EndpointState.SILENT);
@@ -443,8 +447,7 @@
 
 		@Test
 		void aRememberedOneThatHasNotAnsweredGivesWayToAReport() {
-			this.supervisor.remember(new EndpointReport("endpoint-1", 5, 0, "service", CORE.times(4), List.of(), false),
-					this.nowMillis);
+			this.supervisor.remember(memo(1), this.nowMillis);
 			attach(4);
 			Assert.assertEquals(state(), EndpointState.READY);
 		}
@@ -612,6 +615,62 @@
 
 	}
 
+	/**
+	 * What is stored of an endpoint.
+	 */
+	public static class Memos extends RunSupervisorTests {
+
+		private void runs(int count, long millis) {
+			for (int i = 0; i < count; i++) {
+				running("t" + i);
+				pass(millis);
+				grant();
+				observe(1, List.of(), List.of(new EndedRun(i + 1, "t" + i, 1, RunEnd.DONE)));
+			}
+		}
+
+		@Test
+		void aNewLifetimeIsStoredOnce() {
+			attach(1);
+			Assert.assertEquals(this.supervisor.memo(this.nowMillis).orElseThrow().report().bornMillis(), 1);
+			Assert.assertTrue(this.supervisor.memo(this.nowMillis).isEmpty());
+		}
+
+		@Test
+		void itsSpeedIsStoredOnceItIsKnown() {
+			attach(1);
+			link();
+			this.supervisor.memo(this.nowMillis);
+			runs(40, 200);
+			Assert.assertEquals(this.supervisor.memo(this.nowMillis).orElseThrow().usualSpeed(), 0.5, 0.05);
+			Assert.assertTrue(this.supervisor.memo(this.nowMillis).isEmpty());
+		}
+
+		@Test
+		void theNextLifetimeOfTheVmIsAsFastAsTheLast() {
+			attach(1);
+			link();
+			runs(40, 200);
+			attach(2);
+			Assert.assertEquals(this.supervisor.status(0, this.nowMillis).speed(), 0.5, 0.05);
+		}
+
+		@Test
+		void aRestartedAgentKnowsTheSpeed() {
+			this.supervisor.remember(memo(0.5), this.nowMillis);
+			attach(7);
+			Assert.assertEquals(this.supervisor.status(0, this.nowMillis).speed(), 0.5, 0.001);
+		}
+
+		@Test
+		void aSpeedThatArrivesAfterTheReportCounts() {
+			attach(7);
+			this.supervisor.remember(memo(0.5), this.nowMillis);
+			Assert.assertEquals(this.supervisor.status(0, this.nowMillis).speed(), 0.5, 0.001);
+		}
+
+	}
+
 	/**
 	 * Links that are no longer wanted.
 	 */
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.apache.logging.log4j.LogManager;
@@ -17,6 +18,7 @@
 import org.baobabspar.message.RunStart;
 import org.baobabspar.message.RunStop;
 import org.baobabspar.supervise.EndpointDriver;
+import org.baobabspar.supervise.EndpointMemo;
 import org.baobabspar.supervise.EntrySelection;
 import org.baobabspar.supervise.RunSupervisor;
 import org.baobabspar.wire.LinkHandler;
@@ -55,6 +57,8 @@
 
 	private final Map<String, Long> heardMillis = new HashMap<>();
 
+	private final Consumer<EndpointMemo> memory;
+
 	private final EntrySelection selection;
 
 	/** When links that are no longer wanted began to be retired. */
@@ -72,9 +76,11 @@
 	 * @param clock its clock
 	 * @param loops event loops for traffic
 	 * @param driver creates the client of the endpoint, given this agent
+	 * @param memory stores what a later lifetime of this agent has to know
 	 */
 	public AgentNode(String name, String domain, LifeClock clock, LoopResources loops,
-			Function<AgentNode, EndpointDriver> driver) {
+			Function<AgentNode, EndpointDriver> driver, Consumer<EndpointMemo> memory) {
+		this.memory = memory;
 		this.clock = clock;
 		this.links = new Links(this.control.scheduler(), loops, this);
 		this.selection = new EntrySelection(name);
@@ -87,7 +93,11 @@
 	/** Start working. */
 	public void start() {
 		this.control.every(TICK_MILLIS, () -> update(RunSupervisor::tick));
-		this.control.every(SELECT_MILLIS, () -> select(this.clock.now()));
+		this.control.every(SELECT_MILLIS, () -> {
+			long now = this.clock.now();
+			select(now);
+			this.supervisor.memo(now).ifPresent(this.memory);
+		});
 	}
 
 	/**
