--- a/core/src/main/java/org/baobabspar/dispatch/AgentView.java
+++ b/core/src/main/java/org/baobabspar/dispatch/AgentView.java
@@ -24,7 +24,7 @@
 	static final long QUIET_MILLIS = 260;
 
 	/** Agents ask at least once in 100 ms, and more often with news of their room. */
-	private static final long GRANT_MILLIS = 60;
+	private static final long GRANT_MILLIS = 90;
 
 	final String name;
 
--- a/core/src/main/java/org/baobabspar/supervise/Owners.java
+++ b/core/src/main/java/org/baobabspar/supervise/Owners.java
@@ -33,7 +33,7 @@
 	 * Time between two updates of the room; a task takes a few times longer, and the
 	 * entry whose run has ended knows at once.
 	 */
-	static final long STATUS_MILLIS = 25;
+	static final long STATUS_MILLIS = 40;
 
 	/** After so long without a lease an entry that has no runs is forgotten. */
 	private static final long FORGET_MILLIS = 60_000;
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -36,13 +36,13 @@
 
 	private static final Logger LOG = LogManager.getLogger(AgentNode.class);
 
-	private static final long TICK_MILLIS = 20;
+	private static final long TICK_MILLIS = 40;
 
 	/** Three requests without a grant; the entry's lease lasts little longer. */
 	private static final long SILENT_LINK_MILLIS = 300;
 
 	/** How often the choice of entries is looked at. */
-	private static final long SELECT_MILLIS = 100;
+	private static final long SELECT_MILLIS = 250;
 
 	/** Time for an entry to learn that its link is no longer wanted. */
 	private static final long RETIRE_MILLIS = 300;
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -37,7 +37,7 @@
 
 	private static final Logger LOG = LogManager.getLogger(EntryNode.class);
 
-	private static final long TICK_MILLIS = 10;
+	private static final long TICK_MILLIS = 20;
 
 	/**
 	 * Callers may have given this process up, and leases of its runs have lapsed, after a
