A hello on a link that its agent has replaced is ignored

While the links of an entry are cut, an agent gives one up and opens the next; both hellos wait at the cut. When it ends, the older may come last. The entry took it as the newest word, its list lacked the runs ordered on the live link, so they counted as lost and were ordered again elsewhere while they ran. Links are numbered by the entry as it accepts them, and an agent dials a link only after it has closed the last, so a lower number is the older link.

--- a/core/src/main/java/org/baobabspar/dispatch/AgentView.java
+++ b/core/src/main/java/org/baobabspar/dispatch/AgentView.java
@@ -37,6 +37,9 @@
 
 	String link;
 
+	/** Number of the link; an agent opens a link only after it has closed the last. */
+	long linkNumber;
+
 	EndpointStatus status;
 
 	long heardMillis;
--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -262,8 +262,10 @@
 	}
 
 	/**
-	 * Take the hello of an agent. One that answers the welcome of an earlier link may
-	 * list runs as they were before later orders, so it is ignored.
+	 * Take the hello of an agent. One that answers the welcome of an earlier link, or
+	 * comes on one that the agent has replaced, may list runs as they were before later
+	 * orders, so it is ignored. Example: two links are cut one after the other, and the
+	 * bytes of the first come last.
 	 * @param link the link
 	 * @param m the hello
 	 * @param nowMillis the time
@@ -277,9 +279,15 @@
 			.filter((o) -> o.name.equals(m.agent()) && o.incarnation == m.incarnation())
 			.findFirst()
 			.orElseGet(() -> add(m));
+		if (m.linkNumber() < v.linkNumber) {
+			this.outbox
+				.log("agent=" + m.agent() + " hello=ignored link_number=" + m.linkNumber() + " newer=" + v.linkNumber);
+			return;
+		}
 		if (v.link != null) {
 			this.byLink.remove(v.link);
 		}
+		v.linkNumber = m.linkNumber();
 		v.linked(link, m.status(), m.runs(), nowMillis);
 		this.byLink.put(link, v);
 		this.outbox.log("agent=" + v.name + " incarnation=" + v.incarnation + " state=linked endpoint="
--- a/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
@@ -253,6 +253,25 @@
 			Assert.assertEquals(starts("a").size(), 1);
 		}
 
+		/**
+		 * Both links were cut while the agent opened one after the other; when the cut
+		 * ended, their bytes came in the wrong order.
+		 */
+		@Test
+		void aHelloOnAnOlderLinkIsIgnored() {
+			long older = this.dispatcher.linked("older");
+			agent("a", 8, 1);
+			submit(job("j", 1, 100));
+			EndpointStatus before = status("a", 8, 1, 0);
+			this.dispatcher.hello("older", new SupervisorHello("a", 1, "domain-1", before, List.of(), older),
+					this.nowMillis);
+			this.dispatcher.request("older", new LeaseRequest(this.nowMillis, before), this.nowMillis);
+			this.dispatcher.place(this.nowMillis);
+			Assert.assertEquals(starts("older"), List.of());
+			end("a", starts("a").get(0), RunEnd.DONE);
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.COMPLETED));
+		}
+
 		@Test
 		void aUsedNumberIsFollowedByAHigherOne() {
 			agent("a", 8, 1);
