--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -240,6 +240,14 @@
 		return this.jobs.values().stream().filter((j) -> !j.givenUp).count();
 	}
 
+	/**
+	 * Tell whether there is nothing to place or to end.
+	 * @return whether no job waits or may run
+	 */
+	public boolean idle() {
+		return this.jobs.isEmpty();
+	}
+
 	/**
 	 * Tell whether any endpoint takes runs.
 	 * @param nowMillis the time
@@ -390,7 +398,7 @@
 	}
 
 	private void again(PlacedTask t, RunEnd end, AgentView v) {
-		t.state = State.WAITING;
+		t.job.waits(t);
 		if (end != RunEnd.REFUSED) {
 			t.run++;
 		}
@@ -515,9 +523,8 @@
 	}
 
 	private void order(PlacedTask t, AgentView v, long nowMillis) {
-		t.state = State.ORDERED;
+		t.job.ordered(t);
 		t.agent = v;
-		t.job.outstanding++;
 		if (t.job.firstOrderMillis == 0) {
 			t.job.firstOrderMillis = nowMillis;
 		}
--- a/core/src/main/java/org/baobabspar/supervise/Owners.java
+++ b/core/src/main/java/org/baobabspar/supervise/Owners.java
@@ -29,6 +29,12 @@
 	/** Time between two requests for the lease of a link. */
 	static final long REQUEST_MILLIS = 100;
 
+	/**
+	 * The same while nothing runs: a lease serves only to take the next run at once, and
+	 * still outlives a request that comes late by 150 ms.
+	 */
+	static final long IDLE_REQUEST_MILLIS = 190;
+
 	/**
 	 * Time between two updates of the room; a task takes a few times longer, and the
 	 * entry whose run has ended knows at once.
@@ -117,12 +123,14 @@
 	/**
 	 * Send what is due.
 	 * @param status the endpoint's status for an owner
+	 * @param idle whether nothing runs
 	 * @param nowMillis the time
 	 */
-	void flush(Function<Owner, EndpointStatus> status, long nowMillis) {
+	void flush(Function<Owner, EndpointStatus> status, boolean idle, long nowMillis) {
+		long requestMillis = idle ? IDLE_REQUEST_MILLIS : REQUEST_MILLIS;
 		for (Owner o : all()) {
 			long since = nowMillis - o.lastRequestMillis;
-			boolean due = o.statusUrgent || (o.statusDue && since >= STATUS_MILLIS) || since >= REQUEST_MILLIS;
+			boolean due = o.statusUrgent || (o.statusDue && since >= STATUS_MILLIS) || since >= requestMillis;
 			if (o.linked && due) {
 				request(o, status.apply(o), nowMillis);
 			}
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -31,8 +31,8 @@
  */
 public final class RunSupervisor {
 
-	/** An endpoint that has not answered for so long gets no new runs. */
-	private static final long SILENT_MILLIS = 400;
+	/** An endpoint whose answer to a look is late by so much gets no new runs. */
+	private static final long SILENT_MILLIS = 250;
 
 	private static final long STOP_RETRY_MILLIS = 80;
 
@@ -99,8 +99,11 @@
 
 	private long lookAgainMillis;
 
+	/** When the endpoint last answered, and how long its next answer may take. */
 	private long lastAnswerMillis;
 
+	private long lookWaitMillis = BUSY_WAIT_MILLIS;
+
 	private long lastRenewalMillis;
 
 	private long confirmedEnds;
@@ -254,9 +257,11 @@
 			this.driver.look(0, this.confirmedEnds, 0, this.fence);
 		}
 		else if (this.runs.isEmpty()) {
+			this.lookWaitMillis = IDLE_WAIT_MILLIS;
 			this.driver.look(0, this.confirmedEnds, IDLE_WAIT_MILLIS, this.fence);
 		}
 		else {
+			this.lookWaitMillis = BUSY_WAIT_MILLIS;
 			this.lastRenewalMillis = nowMillis;
 			this.driver.look(LeaseTimes.ENDPOINT_LEASE_MILLIS, this.confirmedEnds, BUSY_WAIT_MILLIS, this.fence);
 		}
@@ -419,7 +424,7 @@
 	public void unreachable(long nowMillis) {
 		if (!silent(nowMillis)) {
 			this.log.accept("endpoint=" + this.endpoint.endpointId() + " state=unreachable");
-			this.lastAnswerMillis = nowMillis - SILENT_MILLIS - 1;
+			this.lastAnswerMillis = nowMillis - this.lookWaitMillis - SILENT_MILLIS - 1;
 			this.owners.stateChanged();
 		}
 	}
@@ -660,7 +665,7 @@
 	 * @param nowMillis the time
 	 */
 	public void flush(long nowMillis) {
-		this.owners.flush((o) -> status(o, nowMillis), nowMillis);
+		this.owners.flush((o) -> status(o, nowMillis), idle(), nowMillis);
 	}
 
 	// Time
@@ -715,7 +720,7 @@
 	}
 
 	private boolean silent(long nowMillis) {
-		return !this.looked || nowMillis - this.lastAnswerMillis > SILENT_MILLIS;
+		return !this.looked || nowMillis - this.lastAnswerMillis > this.lookWaitMillis + SILENT_MILLIS;
 	}
 
 	private EndpointState state(long nowMillis) {
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
@@ -274,6 +274,31 @@
 
 	}
 
+	/**
+	 * Endpoints that answer late or not at all.
+	 */
+	public static class Silence extends SupervisorFixture {
+
+		@Test
+		void isNotTheWaitOfAnIdleLook() {
+			attach(1);
+			pass(this.driver.lastWait + 200);
+			Assert.assertEquals(state(), EndpointState.READY);
+			observe(1, List.of(), List.of());
+			Assert.assertEquals(state(), EndpointState.READY);
+		}
+
+		@Test
+		void isAnAnswerThatIsOverdue() {
+			attach(1);
+			pass(this.driver.lastWait + 300);
+			Assert.assertEquals(state(), EndpointState.SILENT);
+			observe(1, List.of(), List.of());
+			Assert.assertEquals(state(), EndpointState.READY);
+		}
+
+	}
+
 	/**
 	 * Endpoints whose runs fail or stand still.
 	 */
--- a/core/src/test/java/org/baobabspar/supervise/SupervisorFixture.java
+++ b/core/src/test/java/org/baobabspar/supervise/SupervisorFixture.java
@@ -102,6 +102,8 @@
 
 		long lastLease = -1;
 
+		long lastWait = -1;
+
 		long lastFence;
 
 		int probes;
@@ -124,6 +126,7 @@
 		@Override
 		public void look(long leaseMillis, long confirmed, long waitMillis, long fence) {
 			this.lastLease = leaseMillis;
+			this.lastWait = waitMillis;
 			this.lastFence = fence;
 		}
 
--- a/daemon/src/main/java/org/baobabspar/daemon/Control.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/Control.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -63,6 +65,19 @@
 		Flux.interval(Duration.ofMillis(millis), this.scheduler).onBackpressureDrop().subscribe((t) -> work.run());
 	}
 
+	/**
+	 * Run something on the control thread again and again, each time after a pause that
+	 * the work itself chooses.
+	 * @param work what to run; must not block; returns the pause in milliseconds
+	 */
+	public void repeat(LongSupplier work) {
+		AtomicLong pauseMillis = new AtomicLong();
+		Mono.defer(() -> Mono.delay(Duration.ofMillis(pauseMillis.get()), this.scheduler))
+			.doOnNext((t) -> pauseMillis.set(work.getAsLong()))
+			.repeat()
+			.subscribe();
+	}
+
 	@Override
 	public void close() {
 		this.scheduler.dispose();
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -38,9 +38,15 @@
 
 	private static final long TICK_MILLIS = 40;
 
+	/** Nothing is due sooner than the next request for a lease while nothing runs. */
+	private static final long IDLE_TICK_MILLIS = 100;
+
 	/** Three requests without a grant; the entry's lease lasts little longer. */
 	private static final long SILENT_LINK_MILLIS = 300;
 
+	/** The same while nothing runs, and requests are further apart. */
+	private static final long IDLE_SILENT_LINK_MILLIS = 500;
+
 	/** How often the choice of entries is looked at. */
 	private static final long SELECT_MILLIS = 250;
 
@@ -92,7 +98,10 @@
 
 	/** Start working. */
 	public void start() {
-		this.control.every(TICK_MILLIS, () -> update(RunSupervisor::tick));
+		this.control.repeat(() -> {
+			apply(RunSupervisor::tick);
+			return this.idle ? IDLE_TICK_MILLIS : TICK_MILLIS;
+		});
 		this.control.every(SELECT_MILLIS, () -> {
 			long now = this.clock.now();
 			select(now);
@@ -132,18 +141,21 @@
 	 * @param event given the supervisor and the time
 	 */
 	public void update(Update event) {
-		this.control.run(() -> {
-			long now = this.clock.now();
-			event.apply(this.supervisor, now);
-			closeSilent(now);
-			this.supervisor.flush(now);
-			this.idle = this.supervisor.idle();
-		});
+		this.control.run(() -> apply(event));
+	}
+
+	private void apply(Update event) {
+		long now = this.clock.now();
+		event.apply(this.supervisor, now);
+		closeSilent(now);
+		this.supervisor.flush(now);
+		this.idle = this.supervisor.idle();
 	}
 
 	private void closeSilent(long now) {
+		long bound = this.idle ? IDLE_SILENT_LINK_MILLIS : SILENT_LINK_MILLIS;
 		this.heardMillis.forEach((link, heard) -> {
-			if (now - heard > SILENT_LINK_MILLIS) {
+			if (now - heard > bound) {
 				this.heardMillis.put(link, now);
 				LOG.info("agent: link={} state=silent silent_ms={}", link, now - heard);
 				this.links.close(link);
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -39,6 +39,9 @@
 
 	private static final long TICK_MILLIS = 20;
 
+	/** While no job waits or runs, a tick only looks for agents that are lost. */
+	private static final long IDLE_TICK_MILLIS = 100;
+
 	/**
 	 * Callers may have given this process up, and leases of its runs have lapsed, after a
 	 * pause of this length.
@@ -106,12 +109,12 @@
 	 */
 	public int start(String host, int port) {
 		int bound = this.links.listen(host, port);
-		this.control.every(TICK_MILLIS, this::tick);
+		this.control.repeat(this::tick);
 		LOG.info("entry: start name={} incarnation={} links={}:{}", this.name, this.incarnation, host, bound);
 		return bound;
 	}
 
-	private void tick() {
+	private long tick() {
 		long now = this.clock.now();
 		noticeStall(now);
 		this.dispatcher.tick(now);
@@ -122,6 +125,7 @@
 			this.servable = can;
 		}
 		this.open = this.dispatcher.open();
+		return this.dispatcher.idle() ? IDLE_TICK_MILLIS : TICK_MILLIS;
 	}
 
 	private void noticeStall(long now) {
@@ -142,7 +146,7 @@
 	}
 
 	private void placeSoon() {
-		if (!this.placeDue) {
+		if (!this.placeDue && !this.dispatcher.idle()) {
 			this.placeDue = true;
 			this.control.run(this::place);
 		}
