After a restart jobs wait for the agents that are still coming; late jobs come last

And jobs that were late anyway came first, in order of their deadlines, and took the room of those that could be in time. Change: no refusal for overload within 300 ms of a new agent; late jobs are placed after all others, into room to spare. Tests: DispatcherTests.Restarts, a fleet of which one agent has come; two of the three fail before.

--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -43,6 +43,12 @@
 	/** With less of the processors in use, jobs that will be late are served as well. */
 	private static final double CALM_SHARE = 0.7;
 
+	/**
+	 * For so long after a new agent more of them are expected: those of a fleet that has
+	 * restarted come within a quarter of a second.
+	 */
+	private static final long SETTLE_MILLIS = 300;
+
 	private static final long MIN_RETRY_SECONDS = 1;
 
 	private final String domain;
@@ -64,6 +70,8 @@
 
 	private final List<AgentView> views = new ArrayList<>();
 
+	private long newAgentMillis = -SETTLE_MILLIS;
+
 	/**
 	 * Create the dispatcher of an entry.
 	 * @param domain the entry's failure domain
@@ -286,7 +294,7 @@
 		AgentView v = this.views.stream()
 			.filter((o) -> o.name.equals(m.agent()) && o.incarnation == m.incarnation())
 			.findFirst()
-			.orElseGet(() -> add(m));
+			.orElseGet(() -> add(m, nowMillis));
 		if (m.linkNumber() < v.linkNumber) {
 			this.outbox
 				.log("agent=" + m.agent() + " hello=ignored link_number=" + m.linkNumber() + " newer=" + v.linkNumber);
@@ -302,7 +310,8 @@
 				+ m.status().endpointId() + " runs=" + m.runs().size());
 	}
 
-	private AgentView add(SupervisorHello m) {
+	private AgentView add(SupervisorHello m, long nowMillis) {
+		this.newAgentMillis = nowMillis;
 		AgentView v = new AgentView(m.agent(), m.incarnation(), m.domain());
 		this.views.add(v);
 		return v;
@@ -465,7 +474,9 @@
 	}
 
 	/**
-	 * Place what can be placed. Called after each batch of events.
+	 * Place what can be placed, first the jobs that can be in time: one that will be late
+	 * anyway may take their room only if it is left over. Called after each batch of
+	 * events.
 	 * @param nowMillis the time
 	 */
 	public void place(long nowMillis) {
@@ -476,24 +487,41 @@
 				.thenComparingDouble((j) -> j.receivedMillis + j.objectiveMillis()))
 			.toList();
 		Map<String, Placement> placements = new HashMap<>();
+		List<DispatchedJob> late = new ArrayList<>();
 		for (DispatchedJob job : waiting) {
 			Placement p = placements.computeIfAbsent(job.route.service(),
 					(s) -> new Placement(usable(job.route, nowMillis), this.domain, nowMillis));
-			place(job, p, nowMillis);
+			if (p.empty()) {
+				waitForAgents(job, nowMillis);
+			}
+			else if (job.mayHaveBegun() || p.canBeInTime(job)) {
+				place(job, p, job.mayHaveBegun(), nowMillis);
+			}
+			else {
+				late.add(job);
+			}
 		}
+		late.forEach((job) -> placeLate(job, placements.get(job.route.service()), nowMillis));
 	}
 
-	private void place(DispatchedJob job, Placement p, long nowMillis) {
-		if (p.empty()) {
-			waitForAgents(job, nowMillis);
-			return;
+	/**
+	 * Serve a job that will be late if there is room to spare, and refuse it otherwise,
+	 * unless the room is not yet known because agents are still coming.
+	 * @param job the job
+	 * @param p the room
+	 * @param nowMillis the time
+	 */
+	private void placeLate(DispatchedJob job, Placement p, long nowMillis) {
+		if (p.used() <= CALM_SHARE) {
+			place(job, p, true, nowMillis);
 		}
-		boolean late = !p.canBeInTime(job);
-		if (late && !job.mayHaveBegun() && p.used() > CALM_SHARE) {
+		else if (nowMillis - this.newAgentMillis >= SETTLE_MILLIS) {
 			decline(job, "overload used=" + Math.round(100 * p.used()), nowMillis);
-			return;
 		}
-		List<Placement.Choice> choices = p.choose(job, late || job.mayHaveBegun());
+	}
+
+	private void place(DispatchedJob job, Placement p, boolean late, long nowMillis) {
+		List<Placement.Choice> choices = p.choose(job, late);
 		for (Placement.Choice c : choices) {
 			order(c.task(), c.agent(), nowMillis);
 		}
--- a/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
@@ -282,6 +282,55 @@
 
 	}
 
+	/**
+	 * A fleet that has just restarted: the first agent is there, and far more work than
+	 * it can take; the others come a moment later.
+	 */
+	public static class Restarts extends DispatcherTests {
+
+		private void fillFirstAgent() {
+			agent("a", 2, 1);
+			submit(job("first", 2, 100));
+			Assert.assertEquals(starts("a").size(), 2);
+		}
+
+		@Test
+		void jobsThatTheFirstAgentCannotTakeWaitForTheOthers() {
+			fillFirstAgent();
+			submit(job("j", 1, 100));
+			this.nowMillis += 150;
+			this.dispatcher.request("a", new LeaseRequest(this.nowMillis, status("a", 0, 1, 2)), this.nowMillis);
+			this.dispatcher.place(this.nowMillis);
+			Assert.assertEquals(outcomes(), List.of());
+			agent("b", 8, 1);
+			this.dispatcher.place(this.nowMillis);
+			Assert.assertEquals(starts("b").size(), 1);
+		}
+
+		@Test
+		void jobsAreRefusedOnceNoMoreAgentsCome() {
+			fillFirstAgent();
+			submit(job("j", 1, 100));
+			this.nowMillis += 400;
+			this.dispatcher.request("a", new LeaseRequest(this.nowMillis, status("a", 0, 1, 2)), this.nowMillis);
+			this.dispatcher.place(this.nowMillis);
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.REFUSED));
+		}
+
+		@Test
+		void jobsThatCanBeInTimeGoBeforeThoseThatWillBeLate() {
+			fillFirstAgent();
+			submit(job("late", 2, 100));
+			this.nowMillis += 150;
+			submit(job("soon", 2, 100));
+			agent("b", 2, 1);
+			this.dispatcher.place(this.nowMillis);
+			Assert.assertEquals(starts("b").stream().map(RunKey::jobId).distinct().toList(), List.of("soon"));
+			Assert.assertEquals(outcomes(), List.of());
+		}
+
+	}
+
 	/**
 	 * Callers who go.
 	 */
