--- a/daemon/src/main/java/org/baobabspar/daemon/Control.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/Control.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -16,6 +18,8 @@
  */
 public final class Control implements AutoCloseable {
 
+	private static final Logger LOG = LogManager.getLogger(Control.class);
+
 	private final Scheduler scheduler;
 
 	/**
@@ -67,7 +71,7 @@
 
 	/**
 	 * Run something on the control thread again and again, each time after a pause that
-	 * the work itself chooses.
+	 * the work itself chooses. Work that fails is logged and run again.
 	 * @param work what to run; must not block; returns the pause in milliseconds
 	 */
 	public void repeat(LongSupplier work) {
@@ -75,6 +79,8 @@
 		Mono.defer(() -> Mono.delay(Duration.ofMillis(pauseMillis.get()), this.scheduler))
 			.doOnNext((t) -> pauseMillis.set(work.getAsLong()))
 			.repeat()
+			.doOnError((ex) -> LOG.error("control: work failed.", ex))
+			.retry()
 			.subscribe();
 	}
 
--- /dev/null
+++ b/daemon/src/test/java/org/baobabspar/daemon/ControlTests.java
@@ -0,0 +1,31 @@
+package org.baobabspar.daemon;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.testng.Assert;
+import org.testng.annotations.Test;
+
+/**
+ * Tests of {@link Control}.
+ */
+public class ControlTests {
+
+	@Test
+	void repeatedWorkGoesOnAfterAFailure() throws InterruptedException {
+		AtomicInteger runs = new AtomicInteger();
+		CountDownLatch later = new CountDownLatch(3);
+		try (Control control = new Control("control")) {
+			control.repeat(() -> {
+				if (runs.incrementAndGet() == 1) {
+					throw new IllegalStateException("first run");
+				}
+				later.countDown();
+				return 1;
+			});
+			Assert.assertTrue(later.await(60, TimeUnit.SECONDS));
+		}
+	}
+
+}
--- a/wire/src/main/java/org/baobabspar/wire/HttpConnections.java
+++ b/wire/src/main/java/org/baobabspar/wire/HttpConnections.java
@@ -213,8 +213,9 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpResponse r) {
 			Call c = this.call;
-			if (c == null) {
-				this.channel.close();
+			if (c == null || r.decoderResult().isFailure()) {
+				HttpConnections.this.idle.remove(this);
+				end(new IOException("answer is not HTTP", r.decoderResult().cause()));
 				return;
 			}
 			this.call = null;
--- a/wire/src/test/java/org/baobabspar/wire/HttpConnectionsTests.java
+++ b/wire/src/test/java/org/baobabspar/wire/HttpConnectionsTests.java
@@ -1,5 +1,6 @@
 package org.baobabspar.wire;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -24,6 +25,7 @@
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.resources.LoopResources;
+import reactor.netty.tcp.TcpServer;
 
 /**
  * Tests of {@link HttpConnections} against a server on loopback.
@@ -112,6 +114,18 @@
 		Assert.assertEquals(this.connections.size(), 2);
 	}
 
+	@Test
+	void anAnswerThatIsNotHttpIsAnError() {
+		DisposableServer other = TcpServer.create()
+			.host("127.0.0.1")
+			.port(0)
+			.handle((in, out) -> in.receive().take(1).thenMany(out.sendString(Mono.just("?\r\n\r\n"))))
+			.bindNow();
+		this.http = new HttpConnections("127.0.0.1", other.port(), 1, 1_000, LOOPS);
+		Assert.assertThrows(IOException.class, () -> unwrapped(call("/x", LONG_MILLIS)));
+		other.disposeNow();
+	}
+
 	@Test
 	void aServerThatIsGoneIsTold() {
 		this.server.disposeNow();
