Failing work on the control thread is guarded in one place; derived state goes

Found on reading the whole change. Control.repeat retried after any failure, also after the rejection that a closed control gives, and so could spin when it was closed while work ran; its twin every still ended for good at the first failure. Both now guard the work itself, and repeat ends with the control. ControlTests: every after a failure, repeat after close. DispatchedJob counted its waiting tasks beside tasks left less tasks ordered, which is the same. Behaviour is otherwise as before.

--- a/core/src/main/java/org/baobabspar/dispatch/DispatchedJob.java
+++ b/core/src/main/java/org/baobabspar/dispatch/DispatchedJob.java
@@ -29,9 +29,6 @@
 
 	private int tasksLeft;
 
-	/** Tasks that are not ordered, though some of them may not be due. */
-	private int tasksWaiting;
-
 	List<Consumer<JobReply>> callers = new ArrayList<>();
 
 	long receivedMillis;
@@ -74,7 +71,6 @@
 		}
 		this.chainMillis = longest;
 		this.tasksLeft = this.tasks.size();
-		this.tasksWaiting = this.tasks.size();
 	}
 
 	double objectiveMillis() {
@@ -94,20 +90,14 @@
 	}
 
 	boolean waiting() {
-		return !this.givenUp && this.tasksWaiting > 0 && this.tasks.stream().anyMatch(this::due);
+		return !this.givenUp && this.tasksLeft > this.outstanding && this.tasks.stream().anyMatch(this::due);
 	}
 
 	void ordered(PlacedTask t) {
 		t.state = State.ORDERED;
-		this.tasksWaiting--;
 		this.outstanding++;
 	}
 
-	void waits(PlacedTask t) {
-		t.state = State.WAITING;
-		this.tasksWaiting++;
-	}
-
 	void done(PlacedTask t) {
 		t.state = State.DONE;
 		this.left[t.step]--;
--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -407,7 +407,7 @@
 	}
 
 	private void again(PlacedTask t, RunEnd end, AgentView v) {
-		t.job.waits(t);
+		t.state = State.WAITING;
 		if (end != RunEnd.REFUSED) {
 			t.run++;
 		}
--- a/daemon/src/main/java/org/baobabspar/daemon/Control.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/Control.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.Callable;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
@@ -61,29 +62,37 @@
 	}
 
 	/**
-	 * Run something on the control thread again and again.
+	 * Run something on the control thread again and again, also after it has failed.
 	 * @param millis the interval
 	 * @param work what to run; must not block
 	 */
 	public void every(long millis, Runnable work) {
-		Flux.interval(Duration.ofMillis(millis), this.scheduler).onBackpressureDrop().subscribe((t) -> work.run());
+		Flux.interval(Duration.ofMillis(millis), this.scheduler).onBackpressureDrop().subscribe((t) -> guard(work));
 	}
 
 	/**
 	 * Run something on the control thread again and again, each time after a pause that
-	 * the work itself chooses. Work that fails is logged and run again.
+	 * the work itself chooses, also after it has failed.
 	 * @param work what to run; must not block; returns the pause in milliseconds
 	 */
 	public void repeat(LongSupplier work) {
 		AtomicLong pauseMillis = new AtomicLong();
 		Mono.defer(() -> Mono.delay(Duration.ofMillis(pauseMillis.get()), this.scheduler))
-			.doOnNext((t) -> pauseMillis.set(work.getAsLong()))
+			.doOnNext((t) -> guard(() -> pauseMillis.set(work.getAsLong())))
 			.repeat()
-			.doOnError((ex) -> LOG.error("control: work failed.", ex))
-			.retry()
+			.onErrorComplete(RejectedExecutionException.class)
 			.subscribe();
 	}
 
+	private static void guard(Runnable work) {
+		try {
+			work.run();
+		}
+		catch (RuntimeException ex) {
+			LOG.error("control: work failed.", ex);
+		}
+	}
+
 	@Override
 	public void close() {
 		this.scheduler.dispose();
--- a/daemon/src/test/java/org/baobabspar/daemon/ControlTests.java
+++ b/daemon/src/test/java/org/baobabspar/daemon/ControlTests.java
@@ -12,6 +12,34 @@
  */
 public class ControlTests {
 
+	@Test
+	void periodicWorkGoesOnAfterAFailure() throws InterruptedException {
+		AtomicInteger runs = new AtomicInteger();
+		CountDownLatch later = new CountDownLatch(3);
+		try (Control control = new Control("control")) {
+			control.every(1, () -> {
+				if (runs.incrementAndGet() == 1) {
+					throw new IllegalStateException("first run");
+				}
+				later.countDown();
+			});
+			Assert.assertTrue(later.await(60, TimeUnit.SECONDS));
+		}
+	}
+
+	@Test
+	void repeatedWorkEndsWithTheControl() throws InterruptedException {
+		CountDownLatch ended = new CountDownLatch(1);
+		Control control = new Control("control");
+		control.repeat(() -> {
+			control.close();
+			ended.countDown();
+			return 0;
+		});
+		Assert.assertTrue(ended.await(60, TimeUnit.SECONDS));
+		Assert.assertTrue(control.scheduler().isDisposed());
+	}
+
 	@Test
 	void repeatedWorkGoesOnAfterAFailure() throws InterruptedException {
 		AtomicInteger runs = new AtomicInteger();
