--- a/daemon/src/main/java/org/baobabspar/daemon/Http.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/Http.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.net.BindException;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -42,6 +43,20 @@
 		return bind(port, () -> HttpServer.create().host(host).port(port).runOn(loops).route(routes).bindNow());
 	}
 
+	/**
+	 * Start a server whose requests all have one handler.
+	 * @param host the local address
+	 * @param port the port, 0 for any
+	 * @param loops the event loops
+	 * @param handler answers a request
+	 * @return the server
+	 * @throws CodedException with {@link ResultCode#PORT_IN_USE}
+	 */
+	public static DisposableServer serve(String host, int port, LoopResources loops,
+			BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
+		return bind(port, () -> HttpServer.create().host(host).port(port).runOn(loops).handle(handler).bindNow());
+	}
+
 	/**
 	 * Bind a port and name the fault if it is taken.
 	 * @param port the port
--- a/daemon/src/test/java/org/baobabspar/daemon/ControlTests.java
+++ b/daemon/src/test/java/org/baobabspar/daemon/ControlTests.java
@@ -1,5 +1,6 @@
 package org.baobabspar.daemon;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -29,15 +30,16 @@
 
 	@Test
 	void repeatedWorkEndsWithTheControl() throws InterruptedException {
-		CountDownLatch ended = new CountDownLatch(1);
+		CompletableFuture<Thread> worker = new CompletableFuture<>();
 		Control control = new Control("control");
 		control.repeat(() -> {
 			control.close();
-			ended.countDown();
+			worker.complete(Thread.currentThread());
 			return 0;
 		});
-		Assert.assertTrue(ended.await(60, TimeUnit.SECONDS));
-		Assert.assertTrue(control.scheduler().isDisposed());
+		Thread thread = worker.orTimeout(60, TimeUnit.SECONDS).join();
+		thread.join(TimeUnit.SECONDS.toMillis(60));
+		Assert.assertFalse(thread.isAlive());
 	}
 
 	@Test
