Clock: move SuspendAwareClock to core, no change of logic

Cause: the simulation of a fleet lives in the tests of core and cannot reach the clock that the processes use, so it plays no steps of the time of day. Before: the class is in daemon/node. After: it is in core/fleet, unchanged. Conclusion: the simulation can give each process the real clock.

--- a/core/src/main/java/org/baobabspar/fleet/SuspendAwareClock.java
+++ b/core/src/main/java/org/baobabspar/fleet/SuspendAwareClock.java
@@ -1,4 +1,4 @@
-package org.baobabspar.node;
+package org.baobabspar.fleet;
 
 import java.util.function.LongSupplier;
 
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.Logger;
 import org.baobabspar.daemon.Control;
 import org.baobabspar.fleet.RoutingTable;
+import org.baobabspar.fleet.SuspendAwareClock;
 import org.baobabspar.message.EntryWelcome;
 import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.Message;
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -15,6 +15,7 @@
 import org.baobabspar.fleet.JobSubmission;
 import org.baobabspar.fleet.Route;
 import org.baobabspar.fleet.RoutingTable;
+import org.baobabspar.fleet.SuspendAwareClock;
 import org.baobabspar.message.EntryWelcome;
 import org.baobabspar.message.LeaseRequest;
 import org.baobabspar.message.Message;
