Leases: count no lease with the time of day

What callers saw: a task ran twice at once after the time of day was set ahead on the VM of its agent. Cause: SuspendAwareClock added what the time of day gains on the monotonic clock to the elapsed time. That ends a lease early for its holder, which is safe, but also for who waits for its end (an agent reported live runs as lost, 'endpoint_silent'; an entry counted its agents as lost) and lengthens it for who sets it (the endpoint's deadline). Class: one clock for both sides of a lease, wrong in the unsafe direction on one side. Now: everything is counted with the monotonic clock. The suspension of a VM, which that clock does not count, is found from the clocks of peers (SuspensionDetector): the endpoint's at an agent, the agents' at an entry. Holders then let their leases lapse; who waits only waits longer.

--- a/core/src/main/java/org/baobabspar/dispatch/AgentView.java
+++ b/core/src/main/java/org/baobabspar/dispatch/AgentView.java
@@ -83,6 +83,14 @@
 		this.domain = domain;
 	}
 
+	/**
+	 * Returns a name that no other incarnation of an agent has.
+	 * @return the name
+	 */
+	String incarnationName() {
+		return this.name + "@" + this.incarnation;
+	}
+
 	void attachLink(String newLink, EndpointStatus newStatus, Iterable<RunKey> runs, long nowMillis) {
 		this.link = newLink;
 		this.status = newStatus;
--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -13,6 +13,7 @@
 import org.baobabspar.fleet.JobSubmission;
 import org.baobabspar.fleet.Route;
 import org.baobabspar.fleet.RunEnd;
+import org.baobabspar.fleet.SuspensionDetector;
 import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.LeaseRequest;
 import org.baobabspar.message.RunEnded;
@@ -60,6 +61,11 @@
 
 	private static final long RETRY_AFTER_SECONDS = 1;
 
+	/** Suspension of this VM after which callers may have turned to another entry. */
+	private static final long MIN_SUSPENSION_MILLIS = 400;
+
+	private static final long SUSPENSION_WINDOW_MILLIS = 10_000;
+
 	private final String domain;
 
 	private final DispatchOutbox outbox;
@@ -79,6 +85,9 @@
 
 	private final List<AgentView> agents = new ArrayList<>();
 
+	private final SuspensionDetector suspensions = new SuspensionDetector(MIN_SUSPENSION_MILLIS,
+			SUSPENSION_WINDOW_MILLIS);
+
 	private long lastNewAgentMillis = -FLEET_WARM_UP_MILLIS;
 
 	/**
@@ -354,6 +363,7 @@
 			this.outbox.log("agent=" + agent.name + " endpoint=" + request.status().endpointId() + " state="
 					+ request.status().state() + " speed=" + request.status().speed());
 		}
+		detectSuspension(agent, request.sentMillis(), nowMillis);
 		agent.updateStatus(request.status(), nowMillis);
 		agent.agentClockMillis = request.sentMillis();
 		if (agent.listedRuns != null) {
@@ -364,6 +374,21 @@
 		}
 	}
 
+	/**
+	 * Declines all jobs if the agent's clock shows that this VM was suspended, since the
+	 * callers may have turned to another entry meanwhile. The agent's clock is not used
+	 * for a start before this check.
+	 * @param agent the agent
+	 * @param agentMillis the agent's clock
+	 * @param nowMillis the current time
+	 */
+	private void detectSuspension(AgentView agent, long agentMillis, long nowMillis) {
+		this.suspensions.observe(agent.incarnationName(), agentMillis, nowMillis).ifPresent((lostMillis) -> {
+			this.outbox.log("suspended lost_ms=" + lostMillis + " agent=" + agent.name);
+			declineAll("entry_suspended", nowMillis);
+		});
+	}
+
 	/**
 	 * Reconciles the outstanding tasks of an agent with the runs that it listed on a new
 	 * link. A run that is not listed and has no reported end was never started, because
@@ -484,6 +509,7 @@
 		this.outbox.log("agent=" + agent.name + " incarnation=" + agent.incarnation + " state=lost silent_ms="
 				+ (nowMillis - agent.lastHeardMillis) + " runs=" + agent.outstandingTasks.size());
 		this.agents.remove(agent);
+		this.suspensions.forget(agent.incarnationName());
 		if (agent.link != null) {
 			this.agentsByLink.remove(agent.link);
 			this.outbox.close(agent.link);
--- a/core/src/main/java/org/baobabspar/supervise/EntrySessionRegistry.java
+++ b/core/src/main/java/org/baobabspar/supervise/EntrySessionRegistry.java
@@ -52,6 +52,9 @@
 
 	private final Map<String, EntrySession> byLink = new HashMap<>();
 
+	/** Requests that were sent until this time are void. */
+	private long lapsedUntilMillis = Long.MIN_VALUE;
+
 	private final SupervisorOutbox outbox;
 
 	private final Consumer<String> log;
@@ -94,11 +97,32 @@
 
 	void extendLease(String link, LeaseGrant grant) {
 		EntrySession session = this.byLink.get(link);
-		if (session != null) {
+		if (session == null) {
+			return;
+		}
+		if (!hasLapsed(grant.sentMillis())) {
 			session.leaseUntilMillis = Math.max(session.leaseUntilMillis,
 					grant.sentMillis() + LeaseTimes.ENTRY_LEASE_MILLIS);
-			session.confirmEnds(grant.endsSeen());
 		}
+		session.confirmEnds(grant.endsSeen());
+	}
+
+	/**
+	 * Lets all leases lapse. Grants of requests that were sent before count no more.
+	 * @param nowMillis the current time
+	 */
+	void lapseLeases(long nowMillis) {
+		this.lapsedUntilMillis = nowMillis;
+		all().forEach((session) -> session.leaseUntilMillis = Math.min(session.leaseUntilMillis, nowMillis));
+	}
+
+	/**
+	 * Returns whether a request was sent before all leases lapsed.
+	 * @param requestMillis when the request was sent
+	 * @return whether nothing that was granted or ordered in answer to it counts
+	 */
+	boolean hasLapsed(long requestMillis) {
+		return requestMillis <= this.lapsedUntilMillis;
 	}
 
 	/**
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -13,6 +13,7 @@
 import org.baobabspar.fleet.Resources;
 import org.baobabspar.fleet.RunEnd;
 import org.baobabspar.fleet.RunKey;
+import org.baobabspar.fleet.SuspensionDetector;
 import org.baobabspar.message.EntryWelcome;
 import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.RunStart;
@@ -38,6 +39,9 @@
 
 	private static final long STOP_RETRY_MILLIS = 80;
 
+	/** Name of the endpoint as a peer whose clock is observed. */
+	private static final String ENDPOINT = "endpoint";
+
 	private static final long POLL_RETRY_MILLIS = 20;
 
 	/** How long a poll waits for an end while runs need their lease renewed. */
@@ -59,6 +63,11 @@
 
 	private static final int MAX_LISTED_ENDS = 500;
 
+	private static final long MIN_SUSPENSION_MILLIS = 100;
+
+	/** Short enough that an endpoint's slow clock loses less than half of the above. */
+	private static final long SUSPENSION_WINDOW_MILLIS = 1_000;
+
 	/**
 	 * Minimum time between two checkpoints that record a change of the endpoint's speed,
 	 * which limits the calls to the store.
@@ -86,6 +95,9 @@
 
 	private final EndpointHealth health = new EndpointHealth();
 
+	private final SuspensionDetector suspensions = new SuspensionDetector(MIN_SUSPENSION_MILLIS,
+			SUSPENSION_WINDOW_MILLIS);
+
 	private EndpointReport endpoint;
 
 	private EndpointCheckpoint lastCheckpoint;
@@ -245,6 +257,7 @@
 		this.confirmedEndSequence = 0;
 		this.health.reset(speed);
 		this.lastAnswerMillis = nowMillis;
+		this.suspensions.forget(ENDPOINT);
 		this.driver.attach(report);
 		this.pollInFlight = false;
 		poll(nowMillis);
@@ -470,13 +483,26 @@
 		this.sessions.markStateChanged();
 	}
 
+	/**
+	 * Handles a reading of the endpoint's monotonic clock. If it shows that this VM was
+	 * suspended, all leases of entries lapse, since they may have expired meanwhile.
+	 * @param endpointMillis the endpoint's clock
+	 * @param nowMillis the current time
+	 */
+	public void observeEndpointClock(long endpointMillis, long nowMillis) {
+		this.suspensions.observe(ENDPOINT, endpointMillis, nowMillis).ifPresent((lostMillis) -> {
+			this.log.accept("suspended lost_ms=" + lostMillis + " runs=" + this.runs.size());
+			this.sessions.lapseLeases(nowMillis);
+		});
+	}
+
 	// Runs
 
 	/**
 	 * Handles an order to start a run: starts it, or reports it as refused.
 	 * @param link the link on which the order came
 	 * @param order the order
-	 * @param nowMillis the current time, from a clock that also counts suspended time
+	 * @param nowMillis the current time
 	 */
 	public void start(String link, RunStart order, long nowMillis) {
 		EntrySession owner = this.sessions.find(link).orElse(null);
@@ -502,7 +528,7 @@
 		if (nowMillis - order.agentClockMillis() > LeaseTimes.ENTRY_LEASE_MILLIS) {
 			return Optional.of("late_ms_" + (nowMillis - order.agentClockMillis()));
 		}
-		if (!owner.hasLease(nowMillis)) {
+		if (!owner.hasLease(nowMillis) || this.sessions.hasLapsed(order.agentClockMillis())) {
 			return Optional.of("no_lease");
 		}
 		if (owner.retiring) {
--- a/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
@@ -122,6 +122,39 @@
 		return this.replies.stream().map(JobReply::outcome).toList();
 	}
 
+	/**
+	 * Suspensions of the entry's VM, which its monotonic clock does not count.
+	 */
+	public static class Suspensions extends DispatcherTests {
+
+		private void requestLease(String name, long agentMillis) {
+			this.dispatcher.handleLeaseRequest(name, new LeaseRequest(agentMillis, status(name, 8, 1, 1)),
+					this.nowMillis);
+		}
+
+		// Guards against a job that goes on at this entry after its caller has handed it
+		// in at another one.
+		@Test
+		void agentThatRunsAheadEndsAllJobs() {
+			linkAgent("a", 8, 1);
+			submit(createJob("j", 1, 100));
+			requestLease("a", this.nowMillis + 2_400);
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.UNKNOWN));
+			Assert.assertEquals(stopCount("a"), 1);
+		}
+
+		@Test
+		void requestThatWasDelayedEndsNoJob() {
+			linkAgent("a", 8, 1);
+			submit(createJob("j", 1, 100));
+			this.nowMillis += 600;
+			requestLease("a", this.nowMillis - 500);
+			requestLease("a", this.nowMillis);
+			Assert.assertTrue(this.replies.isEmpty());
+		}
+
+	}
+
 	/**
 	 * Answers to callers.
 	 */
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -11,7 +11,6 @@
 import org.apache.logging.log4j.Logger;
 import org.baobabspar.daemon.Control;
 import org.baobabspar.fleet.RoutingTable;
-import org.baobabspar.fleet.SuspendAwareClock;
 import org.baobabspar.message.EntryWelcome;
 import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.Message;
@@ -59,8 +58,6 @@
 
 	private final Control control = new Control("control");
 
-	private final SuspendAwareClock clock;
-
 	private final Links links;
 
 	private final RunSupervisor supervisor;
@@ -85,15 +82,13 @@
 	 * Creates an agent.
 	 * @param name the name of the agent
 	 * @param domain the failure domain
-	 * @param clock the clock
 	 * @param loops the event loops for network traffic
 	 * @param driver creates the client of the endpoint, given this agent
 	 * @param memory persists the state that a later incarnation of this agent needs
 	 */
-	public AgentNode(String name, String domain, SuspendAwareClock clock, LoopResources loops,
-			Function<AgentNode, EndpointDriver> driver, Consumer<EndpointCheckpoint> memory) {
+	public AgentNode(String name, String domain, LoopResources loops, Function<AgentNode, EndpointDriver> driver,
+			Consumer<EndpointCheckpoint> memory) {
 		this.memory = memory;
-		this.clock = clock;
 		this.links = new Links(this.control.scheduler(), loops, this);
 		this.selection = new EntrySelection(name);
 		long incarnation = System.currentTimeMillis();
@@ -109,7 +104,7 @@
 			return this.idle ? IDLE_TICK_MILLIS : TICK_MILLIS;
 		});
 		this.control.every(SELECTION_INTERVAL_MILLIS, () -> {
-			long now = this.clock.now();
+			long now = this.control.now();
 			reviewSelection(now);
 			this.supervisor.checkpoint(now).ifPresent(this.memory);
 		});
@@ -122,7 +117,7 @@
 	public void discover(Collection<String> addresses) {
 		this.control.run(() -> {
 			addresses.forEach(this.selection::add);
-			this.selection.selectToDial(this.clock.now()).forEach(this.links::connect);
+			this.selection.selectToDial(this.control.now()).forEach(this.links::connect);
 		});
 	}
 
@@ -151,7 +146,7 @@
 	}
 
 	private void apply(SupervisorUpdate event) {
-		long now = this.clock.now();
+		long now = this.control.now();
 		event.apply(this.supervisor, now);
 		closeSilentLinks(now);
 		this.supervisor.flush(now);
@@ -180,19 +175,19 @@
 	}
 
 	public long now() {
-		return this.clock.now();
+		return this.control.now();
 	}
 
 	@Override
 	public void linkUp(String link) {
-		long now = this.clock.now();
+		long now = this.control.now();
 		this.lastReceivedMillis.put(link, now);
 		this.selection.linkUp(link, now);
 	}
 
 	@Override
 	public void receive(String link, Message message) {
-		long now = this.clock.now();
+		long now = this.control.now();
 		this.lastReceivedMillis.put(link, now);
 		if (message instanceof RunStart start) {
 			this.supervisor.start(link, start, now);
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -15,7 +15,6 @@
 import org.baobabspar.fleet.JobSubmission;
 import org.baobabspar.fleet.Route;
 import org.baobabspar.fleet.RoutingTable;
-import org.baobabspar.fleet.SuspendAwareClock;
 import org.baobabspar.message.EntryWelcome;
 import org.baobabspar.message.LeaseRequest;
 import org.baobabspar.message.Message;
@@ -56,8 +55,6 @@
 
 	private final long incarnation = System.currentTimeMillis();
 
-	private final SuspendAwareClock clock;
-
 	private final Control control;
 
 	private final Links links;
@@ -88,18 +85,16 @@
 	 * Creates an entry.
 	 * @param name the name of the entry
 	 * @param domain the failure domain
-	 * @param clock the clock
 	 * @param loops the event loops for network traffic
 	 * @param metrics the metrics to update
 	 */
-	public EntryNode(String name, String domain, SuspendAwareClock clock, LoopResources loops, NodeMetrics metrics) {
+	public EntryNode(String name, String domain, LoopResources loops, NodeMetrics metrics) {
 		this.name = name;
-		this.clock = clock;
 		this.metrics = metrics;
 		this.control = new Control("control");
 		this.links = new Links(this.control.scheduler(), loops, this);
 		this.dispatcher = new Dispatcher(domain, this);
-		this.lastTickMillis = clock.now();
+		this.lastTickMillis = this.control.now();
 	}
 
 	/**
@@ -116,7 +111,7 @@
 	}
 
 	private long tick() {
-		long now = this.clock.now();
+		long now = this.control.now();
 		detectStall(now);
 		this.dispatcher.tick(now);
 		sendRoutingNotices(now);
@@ -144,7 +139,7 @@
 	 * @return the current time
 	 */
 	private long checkedNow() {
-		long now = this.clock.now();
+		long now = this.control.now();
 		if (now - this.lastTickMillis > STALL_MILLIS) {
 			detectStall(now);
 		}
