Agent: count the endpoint's lease from the decision, not from the call

What callers saw: possibly a task that ran twice at a time. Found by reading; no trace of a run shows it yet. Cause: the agent decides to renew or to start at one reading of its clock, and the client of the endpoint added the lease to a second reading at the call. An agent that stands still between the two sets a lease that is longer by the standstill, while the supervisor and the entries count from the first reading. After: the lease is a period by the agent's clock, so neither a standstill nor the wait for a connection extends it. The new type makes a driver that still takes a duration fail to compile. Conclusion: a start that waits in the connection pool is harmless too, since its deadline doesn't move and the endpoint refuses it afterwards.

--- a/core/src/main/java/org/baobabspar/supervise/EndpointDriver.java
+++ b/core/src/main/java/org/baobabspar/supervise/EndpointDriver.java
@@ -19,10 +19,10 @@
 	 * Starts a run, which also extends the endpoint's lease.
 	 * @param run the run
 	 * @param payload passed to the task
-	 * @param leaseMillis duration of the lease for all runs at the endpoint
+	 * @param lease lease for all runs at the endpoint
 	 * @param fencingToken fencing token
 	 */
-	void start(RunKey run, String payload, long leaseMillis, long fencingToken);
+	void start(RunKey run, String payload, EndpointLease lease, long fencingToken);
 
 	/**
 	 * Stops a run, or ensures that it never starts.
@@ -34,14 +34,13 @@
 
 	/**
 	 * Asks which runs are present and which have ended.
-	 * @param leaseMillis duration of the lease for all runs at the endpoint, 0 to leave
-	 * the lease unchanged
+	 * @param lease lease for all runs at the endpoint, empty to leave it unchanged
 	 * @param confirmedEnds sequence up to which ends are known and need not be listed
 	 * again
 	 * @param waitMillis how long the endpoint may wait for an end before it answers
 	 * @param fencingToken fencing token
 	 */
-	void poll(long leaseMillis, long confirmedEnds, long waitMillis, long fencingToken);
+	void poll(EndpointLease lease, long confirmedEnds, long waitMillis, long fencingToken);
 
 	/**
 	 * Asks the same for an immediate answer, on another connection and without extending
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -270,16 +270,16 @@
 		}
 		this.pollInFlight = true;
 		if (!this.lastPollAnswered) {
-			this.driver.poll(0, this.confirmedEndSequence, 0, this.fencingToken);
+			this.driver.poll(EndpointLease.NONE, this.confirmedEndSequence, 0, this.fencingToken);
 		}
 		else if (this.runs.isEmpty()) {
 			this.pollWaitMillis = IDLE_POLL_WAIT_MILLIS;
-			this.driver.poll(0, this.confirmedEndSequence, IDLE_POLL_WAIT_MILLIS, this.fencingToken);
+			this.driver.poll(EndpointLease.NONE, this.confirmedEndSequence, IDLE_POLL_WAIT_MILLIS, this.fencingToken);
 		}
 		else {
 			this.pollWaitMillis = ACTIVE_POLL_WAIT_MILLIS;
 			this.lastRenewalMillis = nowMillis;
-			this.driver.poll(LeaseTimes.ENDPOINT_LEASE_MILLIS, this.confirmedEndSequence, ACTIVE_POLL_WAIT_MILLIS,
+			this.driver.poll(EndpointLease.startingAt(nowMillis), this.confirmedEndSequence, ACTIVE_POLL_WAIT_MILLIS,
 					this.fencingToken);
 		}
 	}
@@ -494,7 +494,7 @@
 		SupervisedRun run = new SupervisedRun(order.run(), owner, order.resources(), order.expectedMillis(), nowMillis);
 		this.runs.put(order.run().task(), run);
 		this.lastRenewalMillis = nowMillis;
-		this.driver.start(order.run(), order.payload(), LeaseTimes.ENDPOINT_LEASE_MILLIS, this.fencingToken);
+		this.driver.start(order.run(), order.payload(), EndpointLease.startingAt(nowMillis), this.fencingToken);
 		this.sessions.markRoomChanged();
 	}
 
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
@@ -29,6 +29,7 @@
 import org.baobabspar.message.SupervisorHello;
 import org.baobabspar.supervise.EndedRun;
 import org.baobabspar.supervise.EndpointDriver;
+import org.baobabspar.supervise.EndpointLease;
 import org.baobabspar.supervise.EndpointReport;
 import org.baobabspar.supervise.RunInventory;
 import org.baobabspar.supervise.RunSupervisor;
@@ -600,8 +601,8 @@
 		}
 
 		@Override
-		public void start(RunKey run, String payload, long leaseMillis, long fence) {
-			double deadlineMillis = this.endpoint.deadlineMillis(leaseMillis, SimulatedFleet.this.nowMillis);
+		public void start(RunKey run, String payload, EndpointLease lease, long fence) {
+			double deadlineMillis = this.endpoint.deadlineMillis(lease.durationMillis(), lease.fromMillis());
 			JobSubmission order = SimulatedFleet.this.callers.get(run.jobId()).order;
 			Step step = order.steps().get(0);
 			StartAnswer[] answer = new StartAnswer[1];
@@ -626,16 +627,16 @@
 		}
 
 		@Override
-		public void poll(long leaseMillis, long confirmed, long waitMillis, long fence) {
+		public void poll(EndpointLease lease, long confirmed, long waitMillis, long fence) {
 			long sentMillis = SimulatedFleet.this.nowMillis;
-			double deadlineMillis = this.endpoint.deadlineMillis(leaseMillis, sentMillis);
+			double deadlineMillis = this.endpoint.deadlineMillis(lease.durationMillis(), lease.fromMillis());
 			RunInventory[] observation = new RunInventory[1];
 			boolean[] fenced = new boolean[1];
 			long delayMillis = Math.min(waitMillis, 10);
 			callEndpoint(() -> {
 				fenced[0] = !this.endpoint.admit(fence);
 				if (!fenced[0]) {
-					if (leaseMillis > 0) {
+					if (!lease.isEmpty()) {
 						this.endpoint.extend(deadlineMillis, SimulatedFleet.this.nowMillis);
 					}
 					observation[0] = observe(sentMillis, confirmed);
--- a/core/src/test/java/org/baobabspar/supervise/SupervisorFixture.java
+++ b/core/src/test/java/org/baobabspar/supervise/SupervisorFixture.java
@@ -29,6 +29,8 @@
 
 	List<Message> sent;
 
+	List<String> logLines;
+
 	RunSupervisor supervisor;
 
 	long lastStartSequence;
@@ -38,10 +40,10 @@
 		this.nowMillis = 10_000;
 		this.driver = new RecordingDriver();
 		this.sent = new ArrayList<>();
+		this.logLines = new ArrayList<>();
 		this.lastStartSequence = 0;
 		this.supervisor = new RunSupervisor("agent-1", 1, "domain-1", 100, this.driver,
-				(link, message) -> this.sent.add(message), (line) -> {
-				});
+				(link, message) -> this.sent.add(message), this.logLines::add);
 	}
 
 	void attach(long bornMillis) {
@@ -98,7 +100,7 @@
 		return this.supervisor.status(0, this.nowMillis).state();
 	}
 
-	static final class RecordingDriver implements EndpointDriver {
+	final class RecordingDriver implements EndpointDriver {
 
 		final List<RunKey> starts = new ArrayList<>();
 
@@ -106,6 +108,9 @@
 
 		long lastLeaseMillis = -1;
 
+		/** Time, by the agent's clock, until which the endpoint holds a lease. */
+		long leaseUntilMillis;
+
 		long lastWaitMillis = -1;
 
 		long lastFencingToken;
@@ -117,8 +122,9 @@
 		}
 
 		@Override
-		public void start(RunKey run, String payload, long leaseMillis, long fencingToken) {
+		public void start(RunKey run, String payload, EndpointLease lease, long fencingToken) {
 			this.starts.add(run);
+			extendLease(lease);
 			this.lastFencingToken = fencingToken;
 		}
 
@@ -128,12 +134,17 @@
 		}
 
 		@Override
-		public void poll(long leaseMillis, long confirmedEnds, long waitMillis, long fencingToken) {
-			this.lastLeaseMillis = leaseMillis;
+		public void poll(EndpointLease lease, long confirmedEnds, long waitMillis, long fencingToken) {
+			this.lastLeaseMillis = lease.durationMillis();
+			extendLease(lease);
 			this.lastWaitMillis = waitMillis;
 			this.lastFencingToken = fencingToken;
 		}
 
+		private void extendLease(EndpointLease lease) {
+			this.leaseUntilMillis = Math.max(this.leaseUntilMillis, lease.untilMillis());
+		}
+
 		@Override
 		public void probe(long confirmedEnds, long fencingToken) {
 			this.probes++;
