Agent: don't renew the endpoint's lease for a run that should have ended

What callers saw: possibly a task that ran twice at a time. Found by reading and by tests; no trace of a run shows it yet. Cause: an agent stops a run whose entry's lease has lapsed and repeats the stop. The endpoint may leave stops unanswered and carry them out seconds later, while each poll and each start renewed the lease of everything there. The run went on for as long as that lasted, but its entry starts the task elsewhere 1181 ms after it last heard from the agent. After a freeze of the agent the first event may be the answer to a poll, which renewed before a tick had seen the lapse. After: a lease is counted from the decision or from the time by which a run must end, whichever is earlier, and the decision looks at all runs itself. Conclusion: with a lost stop all runs have ended 1131 ms after the last granted request. A stop that is carried out at once costs other runs nothing; starts are refused once a run is overdue by 100 ms, and a line in the log tells for which run.

--- a/core/src/main/java/org/baobabspar/supervise/LeaseTimes.java
+++ b/core/src/main/java/org/baobabspar/supervise/LeaseTimes.java
@@ -12,6 +12,12 @@
  *         350 +            700 *        1.03 +   60  =  1131
  * </pre>
  *
+ * The inequality holds although the endpoint may carry out a stop seconds late, since no
+ * lease of the endpoint is counted from a later time than the end of the entry lease of
+ * any run that may be present (see {@link LeaseRenewals}). So it depends neither on the
+ * tick of the agent nor on how often a stop is repeated; these only decide how long the
+ * other runs at the endpoint go without a renewal.
+ * <p>
  * A caller's retry after a broken connection comes no sooner than 1300 ms, so no run of
  * the first attempt is left by then, even if its entry has failed. Constants only.
  */
@@ -29,6 +35,9 @@
 	/** Clocks of endpoints may be two percent slow; one more percent for rounding. */
 	public static final double CLOCK_DRIFT_FACTOR = 1.03;
 
+	/** Interval at which an agent with runs looks for leases that have lapsed. */
+	public static final long TICK_MILLIS = 40;
+
 	/** Upper bound for the time in which an endpoint stops a run and lists its end. */
 	public static final long MAX_STOP_MILLIS = 60;
 
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -84,6 +84,8 @@
 
 	private final Map<String, SupervisedRun> runs = new LinkedHashMap<>();
 
+	private final LeaseRenewals renewals;
+
 	private final EndpointHealth health = new EndpointHealth();
 
 	private EndpointReport endpoint;
@@ -116,8 +118,6 @@
 	/** How long the endpoint may hold back its answer to the current poll. */
 	private long pollWaitMillis = ACTIVE_POLL_WAIT_MILLIS;
 
-	private long lastRenewalMillis;
-
 	private long confirmedEndSequence;
 
 	private long fencingToken;
@@ -144,6 +144,7 @@
 		this.outbox = outbox;
 		this.log = log;
 		this.sessions = new EntrySessionRegistry(outbox, log);
+		this.renewals = new LeaseRenewals(this.runs.values(), log);
 	}
 
 	// The endpoint
@@ -278,9 +279,8 @@
 		}
 		else {
 			this.pollWaitMillis = ACTIVE_POLL_WAIT_MILLIS;
-			this.lastRenewalMillis = nowMillis;
-			this.driver.poll(EndpointLease.startingAt(nowMillis), this.confirmedEndSequence, ACTIVE_POLL_WAIT_MILLIS,
-					this.fencingToken);
+			this.driver.poll(this.renewals.extend(this.endpoint.endpointId(), nowMillis), this.confirmedEndSequence,
+					ACTIVE_POLL_WAIT_MILLIS, this.fencingToken);
 		}
 	}
 
@@ -493,8 +493,8 @@
 		}
 		SupervisedRun run = new SupervisedRun(order.run(), owner, order.resources(), order.expectedMillis(), nowMillis);
 		this.runs.put(order.run().task(), run);
-		this.lastRenewalMillis = nowMillis;
-		this.driver.start(order.run(), order.payload(), EndpointLease.startingAt(nowMillis), this.fencingToken);
+		this.driver.start(order.run(), order.payload(), this.renewals.extend(this.endpoint.endpointId(), nowMillis),
+				this.fencingToken);
 		this.sessions.markRoomChanged();
 	}
 
@@ -508,6 +508,9 @@
 		if (owner.retiring) {
 			return Optional.of("link_retiring");
 		}
+		if (this.renewals.preventStarts(nowMillis)) {
+			return Optional.of("renewal_withheld");
+		}
 		EndpointState state = state(nowMillis);
 		if (state == EndpointState.DRAINING || state == EndpointState.SILENT) {
 			return Optional.of(state.name());
@@ -705,10 +708,12 @@
 		if (!this.pollInFlight && nowMillis >= this.nextPollMillis) {
 			poll(nowMillis);
 		}
-		if (!this.runs.isEmpty() && isSilent(nowMillis)
-				&& nowMillis - this.lastRenewalMillis > LeaseTimes.ENDPOINT_EXPIRY_MILLIS) {
+		if (!this.runs.isEmpty() && isSilent(nowMillis) && this.renewals.hasExpired(nowMillis)) {
 			finishAllAsLost("endpoint_silent", nowMillis);
 		}
+		if (this.endpoint != null && this.renewals.review(this.endpoint.endpointId(), nowMillis)) {
+			this.sessions.markStateChanged();
+		}
 	}
 
 	private void checkRun(SupervisedRun run, long nowMillis) {
@@ -718,7 +723,7 @@
 			}
 			return;
 		}
-		if (!run.owner.hasLease(nowMillis)) {
+		if (run.mustEndMillis() <= nowMillis) {
 			stop(run, nowMillis, "lease_lapsed");
 		}
 	}
@@ -747,7 +752,8 @@
 	}
 
 	private EndpointState state(long nowMillis) {
-		if (this.endpoint == null || isSilent(nowMillis) || !this.orphanedTasks.isEmpty()) {
+		if (this.endpoint == null || isSilent(nowMillis) || !this.orphanedTasks.isEmpty()
+				|| this.renewals.preventStarts(nowMillis)) {
 			return EndpointState.SILENT;
 		}
 		if (this.draining || this.endpoint.draining()) {
--- a/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
+++ b/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
@@ -68,6 +68,15 @@
 		this.lastProgressMillis = nowMillis;
 	}
 
+	/**
+	 * Returns when the run must end unless its owner extends its lease before. The owner
+	 * may start the task elsewhere some time later; see {@link LeaseTimes}.
+	 * @return the end of the owner's lease
+	 */
+	long mustEndMillis() {
+		return this.owner.leaseUntilMillis;
+	}
+
 	boolean matches(String task, long number) {
 		return this.key.task().equals(task) && this.key.number() == number;
 	}
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -21,6 +21,7 @@
 import org.baobabspar.supervise.EndpointCheckpoint;
 import org.baobabspar.supervise.EndpointDriver;
 import org.baobabspar.supervise.EntrySelection;
+import org.baobabspar.supervise.LeaseTimes;
 import org.baobabspar.supervise.RunSupervisor;
 import org.baobabspar.wire.LinkHandler;
 import org.baobabspar.wire.Links;
@@ -37,8 +38,6 @@
 
 	private static final Logger LOG = LogManager.getLogger(AgentNode.class);
 
-	private static final long TICK_MILLIS = 40;
-
 	/** While nothing runs, the next lease request is the earliest work that is due. */
 	private static final long IDLE_TICK_MILLIS = 100;
 
@@ -106,7 +105,7 @@
 	public void start() {
 		this.control.repeat(() -> {
 			apply(RunSupervisor::tick);
-			return this.idle ? IDLE_TICK_MILLIS : TICK_MILLIS;
+			return this.idle ? IDLE_TICK_MILLIS : LeaseTimes.TICK_MILLIS;
 		});
 		this.control.every(SELECTION_INTERVAL_MILLIS, () -> {
 			long now = this.clock.now();
