Agent: an answer, not a report, proves which incarnation lives

What callers saw: nothing recorded. What could happen: a report of another id, which may come late from a crashed endpoint, gave all runs of the live endpoint back at once, and a 421 did the same for runs that were ordered from another id. Between the birth of an incarnation and its first report (up to 1,500 ms) its answers were ignored: it kept the old fencing token, so late starts were accepted, and got new starts by the capacity of its predecessor. After a backward step of the time of day an incarnation born "earlier" was ignored for ever.

Cause: reports and births were taken as proof; the born of an answer was only compared.

Why it works: an attachment gives nothing back. The runs of a predecessor end when the attached incarnation answers a call sent after the attachment, hence with a higher token, without listing them (AbsenceProof). An answer with another born, to a call sent after the attachment, attaches to that incarnation at once (EndpointIncarnations); it gets no starts before it reports its capacity. A 421 ends only runs ordered from the id that it was meant for.

--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.baobabspar.fleet.EndpointState;
 import org.baobabspar.fleet.EndpointStatus;
@@ -17,6 +18,7 @@
 import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.RunStart;
 import org.baobabspar.message.SupervisorHello;
+import org.baobabspar.supervise.EndpointIncarnations.ReportUse;
 import org.baobabspar.supervise.SupervisedRun.Phase;
 
 /**
@@ -27,7 +29,9 @@
  * <p>
  * Invariants: the room of all runs that may be present never exceeds the endpoint's
  * capacity; a run is started only while its entry holds a lease and the start is fresh; a
- * run is reported as refused only if it never began. Used on the control thread only.
+ * run is reported as refused only if it never began; a run is reported as ended only with
+ * proof that it does not exist and never will ({@link AbsenceProof}). Used on the control
+ * thread only.
  */
 public final class RunSupervisor {
 
@@ -86,8 +90,18 @@
 
 	private final EndpointHealth health = new EndpointHealth();
 
+	private final EndpointIncarnations incarnations = new EndpointIncarnations();
+
 	private EndpointReport endpoint;
 
+	/** When the agent attached to the current incarnation. */
+	private long attachedMillis;
+
+	/**
+	 * Whether the attached incarnation has answered a call, and no other endpoint since.
+	 */
+	private boolean incarnationAnswers;
+
 	private EndpointCheckpoint lastCheckpoint;
 
 	private long lastCheckpointMillis;
@@ -154,16 +168,19 @@
 	 * @param nowMillis the current time
 	 */
 	public void report(EndpointReport report, long nowMillis) {
-		if (this.endpoint != null && this.inventoryKnown && report.bornMillis() < this.endpoint.bornMillis()) {
+		ReportUse use = this.incarnations.useOf(report, this.endpoint, this.incarnationAnswers);
+		if (use == ReportUse.IGNORE) {
 			this.log.accept("ignored report=late endpoint=" + report.endpointId() + " born=" + report.bornMillis());
 			return;
 		}
-		if (this.endpoint == null || report.bornMillis() != this.endpoint.bornMillis()
-				|| !report.endpointId().equals(this.endpoint.endpointId())) {
+		if (use == ReportUse.ATTACH) {
 			attach(report, nowMillis);
 		}
 		else if (report.sequence() > this.endpoint.sequence()) {
 			boolean startsDraining = report.draining() && !this.endpoint.draining();
+			if (!hasSameHardware(report, this.endpoint)) {
+				this.health.reset(1);
+			}
 			this.endpoint = report;
 			if (startsDraining) {
 				this.log.accept("endpoint=" + report.endpointId() + " state=draining sequence=" + report.sequence());
@@ -203,7 +220,8 @@
 	 * @return the checkpoint, empty if there is nothing to store
 	 */
 	public Optional<EndpointCheckpoint> checkpoint(long nowMillis) {
-		if (this.endpoint == null || (this.lastCheckpoint != null && !hasChangedSinceCheckpoint(nowMillis))) {
+		if (this.endpoint == null || !isReported()
+				|| (this.lastCheckpoint != null && !hasChangedSinceCheckpoint(nowMillis))) {
 			return Optional.empty();
 		}
 		this.lastCheckpoint = new EndpointCheckpoint(this.endpoint, this.health.baselineSpeed());
@@ -219,26 +237,23 @@
 	}
 
 	/**
-	 * Attaches to another incarnation of the endpoint. An incarnation with the same id
-	 * may have carried out orders that were meant for its predecessor, so the runs are
-	 * kept until its inventory shows which of them are gone. The higher fencing token
-	 * excludes orders that are still in flight.
+	 * Attaches to another incarnation of the endpoint. Its report does not prove that it
+	 * is alive, and an incarnation with the same id may have carried out orders that were
+	 * meant for its predecessor, so the runs are kept until its inventory shows which of
+	 * them are gone. The higher fencing token excludes orders that are still in flight.
 	 * @param report report of the new incarnation
 	 * @param nowMillis the current time
 	 */
 	private void attach(EndpointReport report, long nowMillis) {
 		this.log.accept("endpoint=" + report.endpointId() + " born=" + report.bornMillis() + " service="
-				+ report.service() + " state=attached");
-		if (this.endpoint != null && report.endpointId().equals(this.endpoint.endpointId())) {
-			this.runs.values().forEach((run) -> run.invalidateConfirmations(nowMillis));
-		}
-		else {
-			finishAllAsLost("new_endpoint", nowMillis);
-		}
+				+ report.service() + " state=attached fence=" + (this.fencingToken + 1) + " runs=" + this.runs.size());
+		this.runs.values().forEach((run) -> run.invalidateConfirmations(nowMillis));
 		double speed = (this.endpoint != null && hasSameHardware(report, this.endpoint)) ? this.health.baselineSpeed()
 				: 1;
 		this.orphanedTasks = new HashSet<>();
 		this.endpoint = report;
+		this.attachedMillis = nowMillis;
+		this.incarnationAnswers = false;
 		this.fencingToken++;
 		this.inventoryKnown = false;
 		this.lastPollAnswered = false;
@@ -302,7 +317,32 @@
 	 */
 	public void probeAnswered(Optional<RunInventory> answer, long nowMillis) {
 		this.probeInFlight = false;
-		answer.filter(this::isCurrent).ifPresent((inventory) -> applyInventory(inventory, nowMillis));
+		answer.ifPresent((inventory) -> {
+			if (isCurrent(inventory)) {
+				applyInventory(inventory, nowMillis);
+			}
+			else {
+				attachToAnswering(inventory, nowMillis);
+			}
+		});
+	}
+
+	/**
+	 * Attaches to the incarnation that answered a call in place of the attached one, so
+	 * that it gets a higher fencing token before anything else. Answers to calls sent
+	 * before the attachment are ignored, since they may come from a predecessor.
+	 * @param inventory the answer
+	 * @param nowMillis the current time
+	 */
+	private void attachToAnswering(RunInventory inventory, long nowMillis) {
+		if (this.endpoint == null || inventory.sentMillis() <= this.attachedMillis) {
+			return;
+		}
+		this.log.accept("endpoint=" + this.endpoint.endpointId() + " born=" + this.endpoint.bornMillis()
+				+ " state=replaced proof=answer_of_born_" + inventory.bornMillis());
+		attach(this.incarnations.answering(this.endpoint, inventory.bornMillis()), nowMillis);
+		this.incarnationAnswers = true;
+		this.sessions.markStateChanged();
 	}
 
 	private boolean isCurrent(RunInventory inventory) {
@@ -323,12 +363,14 @@
 	public void pollAnswered(RunInventory inventory, long nowMillis) {
 		this.pollInFlight = false;
 		if (!isCurrent(inventory)) {
+			attachToAnswering(inventory, nowMillis);
 			return;
 		}
 		boolean wasUsable = !isSilent(nowMillis) && this.lastPollAnswered && this.orphanedTasks.isEmpty();
 		this.lastPollAnswered = true;
 		applyInventory(inventory, nowMillis);
 		this.inventoryKnown = true;
+		this.incarnationAnswers = true;
 		if (!wasUsable && this.orphanedTasks.isEmpty()) {
 			this.log.accept("endpoint=" + this.endpoint.endpointId() + " state=answering");
 			this.sessions.markStateChanged();
@@ -345,7 +387,7 @@
 			SupervisedRun run = this.runs.get(ended.task());
 			if (run != null && run.matches(ended.task(), ended.number())) {
 				run.confirm(nowMillis);
-				finish(run, ended.end(), nowMillis);
+				finish(run, ended.end(), "end_listed", nowMillis);
 			}
 		}
 	}
@@ -399,29 +441,20 @@
 	}
 
 	/**
-	 * Handles a run that the endpoint lists neither as present nor as ended. The absence
-	 * is conclusive only if the poll was sent after the start or the stop was confirmed.
+	 * Handles a run that the endpoint lists neither as present nor as ended. If this
+	 * proves nothing about a start without an answer, the run is stopped, since the
+	 * confirmation of the stop makes the next absence conclusive.
 	 * @param run the run
 	 * @param sentMillis when the poll was sent
 	 * @param nowMillis the current time
 	 */
 	private void reconcileAbsent(SupervisedRun run, long sentMillis, long nowMillis) {
-		switch (run.phase) {
-			case RUNNING -> {
-				if (sentMillis > run.confirmedMillis) {
-					finish(run, RunEnd.LOST, nowMillis);
-				}
-			}
-			case STOPPING -> {
-				if (run.stopConfirmedMillis > 0 && sentMillis >= run.stopConfirmedMillis) {
-					finish(run, run.confirmed ? RunEnd.STOPPED : RunEnd.NUMBER_USED, nowMillis);
+		AbsenceProof.of(run, sentMillis)
+			.ifPresentOrElse((proof) -> finish(run, proof.end(), proof.reason(), nowMillis), () -> {
+				if (run.phase == Phase.UNCERTAIN) {
+					stop(run, nowMillis, "start_unanswered");
 				}
-			}
-			case UNCERTAIN -> stop(run, nowMillis, "start_unanswered");
-			case STARTING -> {
-				// The answer to the start is still outstanding.
-			}
-		}
+			});
 	}
 
 	/**
@@ -458,12 +491,18 @@
 	}
 
 	/**
-	 * Handles an answer that came from an incarnation other than the attached one.
+	 * Handles an answer from an endpoint with another id, which proves that the attached
+	 * one is gone. It proves nothing about runs that were ordered from other endpoints.
 	 * @param nowMillis the current time
 	 */
 	public void otherIncarnation(long nowMillis) {
 		if (this.endpoint != null) {
-			finishAllAsLost("other_lifetime", nowMillis);
+			String endpointId = this.endpoint.endpointId();
+			finishAsLost((run) -> run.endpointId.equals(endpointId), "other_lifetime", nowMillis);
+			if (this.incarnationAnswers) {
+				this.incarnations.markEnded(this.endpoint);
+			}
+			this.incarnationAnswers = false;
 			this.inventoryKnown = false;
 		}
 		pollFailed(nowMillis);
@@ -492,6 +531,7 @@
 			return;
 		}
 		SupervisedRun run = new SupervisedRun(order.run(), owner, order.resources(), order.expectedMillis(), nowMillis);
+		run.endpointId = this.endpoint.endpointId();
 		this.runs.put(order.run().task(), run);
 		this.lastRenewalMillis = nowMillis;
 		this.driver.start(order.run(), order.payload(), LeaseTimes.ENDPOINT_LEASE_MILLIS, this.fencingToken);
@@ -553,7 +593,7 @@
 				unreachable(nowMillis);
 			}
 			this.log.accept("refused run=" + key.task() + "#" + key.number() + " answer=" + answer);
-			finish(run, answer.end().orElseThrow(), nowMillis);
+			finish(run, answer.end().orElseThrow(), "answer_" + answer, nowMillis);
 		}
 	}
 
@@ -596,25 +636,26 @@
 		}
 	}
 
-	private void finish(SupervisedRun run, RunEnd end, long nowMillis) {
+	private void finish(SupervisedRun run, RunEnd end, String proof, long nowMillis) {
 		this.runs.remove(run.key.task());
 		long ranMillis = run.confirmed ? nowMillis - run.startedMillis : 0;
 		this.health.recordEnd(run, end, ranMillis, nowMillis);
 		if (end != RunEnd.DONE) {
 			this.log.accept("ended run=" + run.key.task() + "#" + run.key.number() + " entry=" + run.owner.entry
-					+ " end=" + end + " ran_ms=" + ranMillis + " expected_ms=" + run.expectedMillis);
+					+ " end=" + end + " ran_ms=" + ranMillis + " expected_ms=" + run.expectedMillis + " endpoint="
+					+ run.endpointId + " attached_born=" + this.endpoint.bornMillis() + " proof=" + proof);
 		}
 		this.sessions.reportEnd(run.owner, run.key, end, ranMillis);
 		this.sessions.markRoomChanged();
 	}
 
-	private void finishAllAsLost(String reason, long nowMillis) {
-		if (!this.runs.isEmpty()) {
-			this.log.accept("lost runs=" + this.runs.size() + " reason=" + reason);
-		}
-		for (SupervisedRun run : List.copyOf(this.runs.values())) {
-			finish(run, RunEnd.LOST, nowMillis);
+	private void finishAsLost(Predicate<SupervisedRun> selection, String proof, long nowMillis) {
+		List<SupervisedRun> lost = this.runs.values().stream().filter(selection).toList();
+		if (!lost.isEmpty()) {
+			this.log
+				.accept("lost runs=" + lost.size() + " kept=" + (this.runs.size() - lost.size()) + " reason=" + proof);
 		}
+		lost.forEach((run) -> finish(run, RunEnd.LOST, proof, nowMillis));
 	}
 
 	// Entries
@@ -707,7 +748,7 @@
 		}
 		if (!this.runs.isEmpty() && isSilent(nowMillis)
 				&& nowMillis - this.lastRenewalMillis > LeaseTimes.ENDPOINT_EXPIRY_MILLIS) {
-			finishAllAsLost("endpoint_silent", nowMillis);
+			finishAsLost((run) -> true, "endpoint_silent", nowMillis);
 		}
 	}
 
@@ -742,10 +783,14 @@
 	}
 
 	private boolean isSilent(long nowMillis) {
-		return !this.inventoryKnown
+		return !this.inventoryKnown || !isReported()
 				|| nowMillis - this.lastAnswerMillis > this.pollWaitMillis + MAX_ANSWER_DELAY_MILLIS;
 	}
 
+	private boolean isReported() {
+		return this.endpoint.sequence() != EndpointIncarnations.UNREPORTED_SEQUENCE;
+	}
+
 	private EndpointState state(long nowMillis) {
 		if (this.endpoint == null || isSilent(nowMillis) || !this.orphanedTasks.isEmpty()) {
 			return EndpointState.SILENT;
--- a/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
+++ b/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
@@ -52,6 +52,15 @@
 
 	long stopConfirmedMillis;
 
+	/** Id of the endpoint to which the start was sent. */
+	String endpointId = "";
+
+	/**
+	 * When the agent attached to a successor of the incarnation to which the start was
+	 * sent, 0 before that. Calls sent later carry a higher fencing token than the start.
+	 */
+	long predecessorEndedMillis;
+
 	/** Whether the endpoint has reported the progress of the run. */
 	boolean progressReported;
 
@@ -88,7 +97,7 @@
 	 * @param nowMillis the current time
 	 */
 	void invalidateConfirmations(long nowMillis) {
-		this.confirmedMillis = nowMillis;
+		this.predecessorEndedMillis = nowMillis;
 		this.stopConfirmedMillis = 0;
 	}
 
--- a/core/src/test/java/org/baobabspar/supervise/SupervisorFixture.java
+++ b/core/src/test/java/org/baobabspar/supervise/SupervisorFixture.java
@@ -51,6 +51,12 @@
 		observe(bornMillis, List.of(), List.of());
 	}
 
+	void report(String endpointId, long bornMillis, long sequence) {
+		this.supervisor.report(
+				new EndpointReport(endpointId, bornMillis, sequence, "service", CORE.times(4), List.of(), false),
+				this.nowMillis);
+	}
+
 	void link() {
 		this.supervisor.welcomed(LINK, new EntryWelcome("entry-1", 7, 0, 0), this.nowMillis);
 		grant();
@@ -112,8 +118,11 @@
 
 		int probes;
 
+		long attachedBornMillis;
+
 		@Override
 		public void attach(EndpointReport report) {
+			this.attachedBornMillis = report.bornMillis();
 		}
 
 		@Override
