Agent: the lease does not end a start without an answer

What callers saw: nothing recorded. What could happen: a start got no answer, the endpoint crashed, and 781 ms after the last renewal the run was given back and the task started elsewhere. The endpoint started again under its id and carried the first start out: its clock begins anew, so the start's deadline is far ahead, and it has seen no fencing token. Two runs of the task were then present.

Cause: the lease ends the runs of one incarnation; it says nothing about orders that the next incarnation may carry out. Polls of the silent endpoint went on with the token of the start, so the first answer of the next incarnation did not exclude it.

Tests that failed before (3 of 15 in RunSupervisorIncarnationTests): areNotEndedByTheLease: sizes expected [1] found [2] endOnceTheNextIncarnationHasAcceptedTheFence: sizes expected [0] found [1] areExcludedByTheFirstPollAfterAFailure: expected [true] found [false]

Why it works: endpoint_silent gives back only runs whose start was confirmed. The others wait for an incarnation that answers: it lists them, confirms their stop, or has accepted a higher token. Each poll after a failed one carries a higher token than all calls before it, so the first poll that reaches a new incarnation excludes them.

Price: a task whose start was unanswered waits until its endpoint, or another at its address, answers again.

--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -458,12 +458,15 @@
 	}
 
 	/**
-	 * Handles a poll that got no answer.
+	 * Handles a poll that got no answer. The endpoint may have crashed, and its next
+	 * incarnation accepts any fencing token. The next poll therefore carries a higher one
+	 * than all earlier calls, which may still be carried out.
 	 * @param nowMillis the current time
 	 */
 	public void pollFailed(long nowMillis) {
 		this.pollInFlight = false;
 		this.lastPollAnswered = false;
+		this.fencingToken++;
 		this.nextPollMillis = nowMillis + POLL_RETRY_MILLIS;
 	}
 
@@ -734,7 +737,9 @@
 
 	/**
 	 * Runs the periodic work: stops runs without a lease, sends stops, polls and probes
-	 * again, and gives up the runs of an endpoint that has been silent for too long.
+	 * again, and gives up the runs of an endpoint that has been silent for too long. A
+	 * start without an answer is not given up, since the lease of one incarnation does
+	 * not keep the next one from carrying it out.
 	 * @param nowMillis the current time
 	 */
 	public void tick(long nowMillis) {
@@ -748,7 +753,7 @@
 		}
 		if (!this.runs.isEmpty() && isSilent(nowMillis)
 				&& nowMillis - this.lastRenewalMillis > LeaseTimes.ENDPOINT_EXPIRY_MILLIS) {
-			finishAsLost((run) -> true, "endpoint_silent", nowMillis);
+			finishAsLost((run) -> run.confirmed, "endpoint_silent", nowMillis);
 		}
 	}
 
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorIncarnationTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorIncarnationTests.java
@@ -178,12 +178,51 @@
 	 */
 	public static class UnansweredStarts extends SupervisorFixture {
 
+		private void awaitExpiry() {
+			long renewalMillis = this.nowMillis;
+			while (this.nowMillis <= renewalMillis + LeaseTimes.ENDPOINT_EXPIRY_MILLIS) {
+				grant();
+				this.supervisor.pollFailed(this.nowMillis);
+				advance(20);
+			}
+		}
+
 		private RunKey unanswered(String task) {
 			RunKey run = order(task);
 			this.supervisor.startAnswered(run, StartAnswer.UNKNOWN, this.nowMillis);
 			return run;
 		}
 
+		/** Guards against a start that the next incarnation carries out late. */
+		@Test
+		void areNotEndedByTheLease() {
+			attach(1);
+			link();
+			running("t1");
+			unanswered("t2");
+			awaitExpiry();
+			Assert.assertEquals(ends(), List.of(RunEnd.LOST));
+			attach(2);
+			advance(1);
+			observe(2, List.of(new PresentRun("t2", 1, 0)), List.of());
+			Assert.assertEquals(ends(), List.of(RunEnd.LOST));
+			Assert.assertEquals(this.supervisor.status(0, this.nowMillis).free(), CORE.times(3));
+		}
+
+		/** Guards against a task that waits for ever for an endpoint that was lost. */
+		@Test
+		void endOnceTheNextIncarnationHasAcceptedTheFence() {
+			attach(1);
+			link();
+			unanswered("t1");
+			awaitExpiry();
+			Assert.assertEquals(ends(), List.of());
+			attach(2);
+			advance(1);
+			observe(2, List.of(), List.of());
+			Assert.assertEquals(ends(), List.of(RunEnd.LOST));
+		}
+
 		/** Guards against a job reported as never run that its first endpoint ran. */
 		@Test
 		void mayHaveRunAtThePredecessor() {
@@ -198,6 +237,18 @@
 			Assert.assertEquals(ends(), List.of(RunEnd.LOST));
 		}
 
+		/** Guards against late starts at an incarnation that answers its first poll. */
+		@Test
+		void areExcludedByTheFirstPollAfterAFailure() {
+			attach(1);
+			link();
+			unanswered("t1");
+			long startToken = this.driver.lastFencingToken;
+			this.supervisor.pollFailed(this.nowMillis);
+			advance(30);
+			Assert.assertTrue(this.driver.lastFencingToken > startToken);
+		}
+
 	}
 
 }
