Agent: refusals and inventories prove only what happened after them

What callers saw: nothing recorded. What could happen: a run that the endpoint listed was given back as refused when the answer to its start was a refusal; a stopped run was given back by an inventory that was requested in the millisecond of the stop's confirmation but before it, while the run was still being stopped; each rejected start raised the fencing token by 10,000 though a raise was already on its way.

Cause: the answer to a start was not compared with what the endpoint had listed; times in milliseconds were compared with >= where only a later call proves anything; a rejection was not compared with the token that it rejected.

Tests that failed before (3 of 18 in RunSupervisorIncarnationTests): doNotRefuseARunThatIsListed: sizes expected [0] found [1] toAStopNeedAnInventorySentLater: sizes expected [0] found [1] toCallsOfAnEarlierTokenRaiseNothing: expected [10102] found [20102]

Why it works: a listed run ends only by a listed end, a confirmed stop, the lease or a later incarnation. An inventory counts if it was requested in a later millisecond than the confirmation; a poll follows within 150 ms. Only a rejection of the current token raises it.

--- a/core/src/main/java/org/baobabspar/supervise/AbsenceProof.java
+++ b/core/src/main/java/org/baobabspar/supervise/AbsenceProof.java
@@ -34,7 +34,7 @@
 		return switch (run.phase) {
 			case RUNNING -> (sentMillis > run.confirmedMillis)
 					? Optional.of(new AbsenceProof(RunEnd.LOST, "start_confirmed")) : Optional.empty();
-			case STOPPING -> (run.stopConfirmedMillis > 0 && sentMillis >= run.stopConfirmedMillis)
+			case STOPPING -> (run.stopConfirmedMillis > 0 && sentMillis > run.stopConfirmedMillis)
 					? Optional
 						.of(new AbsenceProof(run.confirmed ? RunEnd.STOPPED : RunEnd.NUMBER_USED, "stop_confirmed"))
 					: Optional.empty();
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -535,6 +535,7 @@
 		}
 		SupervisedRun run = new SupervisedRun(order.run(), owner, order.resources(), order.expectedMillis(), nowMillis);
 		run.endpointId = this.endpoint.endpointId();
+		run.fencingToken = this.fencingToken;
 		this.runs.put(order.run().task(), run);
 		this.lastRenewalMillis = nowMillis;
 		this.driver.start(order.run(), order.payload(), LeaseTimes.ENDPOINT_LEASE_MILLIS, this.fencingToken);
@@ -575,7 +576,7 @@
 	 */
 	public void startAnswered(RunKey key, StartAnswer answer, long nowMillis) {
 		SupervisedRun run = this.runs.get(key.task());
-		if (answer == StartAnswer.FENCED) {
+		if (answer == StartAnswer.FENCED && (run == null || run.fencingToken == this.fencingToken)) {
 			this.fencingToken += FENCE_INCREMENT;
 		}
 		if (run == null || !run.key.equals(key)) {
@@ -591,6 +592,9 @@
 				probe();
 			}
 		}
+		else if (run.confirmed) {
+			this.log.accept("kept run=" + key.task() + "#" + key.number() + " answer=" + answer + " reason=listed");
+		}
 		else {
 			if (answer == StartAnswer.NOT_SENT) {
 				unreachable(nowMillis);
--- a/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
+++ b/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
@@ -55,6 +55,9 @@
 	/** Id of the endpoint to which the start was sent. */
 	String endpointId = "";
 
+	/** Fencing token of the start. */
+	long fencingToken;
+
 	/**
 	 * When the agent attached to a successor of the incarnation to which the start was
 	 * sent, 0 before that. Calls sent later carry a higher fencing token than the start.
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorIncarnationTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorIncarnationTests.java
@@ -251,4 +251,55 @@
 
 	}
 
+	/**
+	 * Answers to starts and stops.
+	 */
+	public static class Answers extends SupervisorFixture {
+
+		/** Guards against a refusal that gives back a run which the endpoint lists. */
+		@Test
+		void doNotRefuseARunThatIsListed() {
+			attach(1);
+			link();
+			RunKey run = order("t1");
+			observe(1, List.of(new PresentRun("t1", 1, 0)), List.of());
+			this.supervisor.startAnswered(run, StartAnswer.REFUSED, this.nowMillis);
+			Assert.assertEquals(ends(), List.of());
+			Assert.assertEquals(this.supervisor.status(0, this.nowMillis).free(), CORE.times(3));
+		}
+
+		/** Guards against an inventory that was sent just before the stop took effect. */
+		@Test
+		void toAStopNeedAnInventorySentLater() {
+			attach(1);
+			link();
+			RunKey run = order("t1");
+			this.supervisor.startAnswered(run, StartAnswer.UNKNOWN, this.nowMillis);
+			observe(1, List.of(), List.of());
+			advance(10);
+			this.supervisor.stopConfirmed("t1", 1, this.nowMillis);
+			observe(1, List.of(), List.of());
+			Assert.assertEquals(ends(), List.of());
+			advance(1);
+			observe(1, List.of(), List.of());
+			Assert.assertEquals(ends(), List.of(RunEnd.NUMBER_USED));
+		}
+
+		/** Guards against tokens that rise for a call that was overtaken by a raise. */
+		@Test
+		void toCallsOfAnEarlierTokenRaiseNothing() {
+			attach(1);
+			link();
+			RunKey run = order("t1");
+			this.supervisor.fenced(this.nowMillis);
+			advance(30);
+			long token = this.driver.lastFencingToken;
+			this.supervisor.startAnswered(run, StartAnswer.FENCED, this.nowMillis);
+			Assert.assertEquals(ends(), List.of(RunEnd.REFUSED));
+			observe(1, List.of(), List.of());
+			Assert.assertEquals(this.driver.lastFencingToken, token);
+		}
+
+	}
+
 }
