Agent: later grants don't keep a run that its entry has ordered to stop

What callers saw: possibly a task that ran twice at a time. Found by reading and by tests; no trace of a run shows it yet. Cause: a run that its entry orders to stop, because the caller has its answer or has left, was renewed for as long as the entry lives, while the caller may hand the job in elsewhere 1300 ms later. The same for a grant after a gap: it revived the lease of runs that the entry may have given up. An order for a run that the agent was stopping itself was ignored. Before: "the runs end after 2841.0" (endTheRunsWithTheLeaseThatTheEntryHadThen and countAlsoForRunsThatAreBeingStopped), "the runs end after 2882.2" (areNotKeptByAGrantAfterTheLapse), areStoppedIfTheGrantComesBeforeTheTick "expected [true] but found [false]". After: such a run must end by the end of the lease that its entry had then. Conclusion: an entry sends the stop before any later grant, so that lease rests on a request from before the answer, and all has ended 1131 ms after it.

--- a/core/src/main/java/org/baobabspar/supervise/EntrySession.java
+++ b/core/src/main/java/org/baobabspar/supervise/EntrySession.java
@@ -5,6 +5,7 @@
 
 import org.baobabspar.fleet.RunEnd;
 import org.baobabspar.fleet.RunKey;
+import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.RunEnded;
 
 /**
@@ -65,6 +66,15 @@
 		return this.unconfirmedEnds;
 	}
 
+	/**
+	 * Returns whether the lease had lapsed when a granted request was sent.
+	 * @param grant the grant
+	 * @return whether there is a gap between the lease and the grant
+	 */
+	boolean hadLapsedBefore(LeaseGrant grant) {
+		return grant.sentMillis() >= this.leaseUntilMillis;
+	}
+
 	boolean hasLease(long nowMillis) {
 		return nowMillis < this.leaseUntilMillis;
 	}
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -569,6 +569,7 @@
 	public void stop(String link, RunKey key, long nowMillis) {
 		SupervisedRun run = this.runs.get(key.task());
 		if (run != null && run.key.equals(key)) {
+			run.excludeFromLaterGrants();
 			stop(run, nowMillis, "asked");
 		}
 	}
@@ -650,11 +651,19 @@
 	}
 
 	/**
-	 * Handles a lease that an entry grants.
+	 * Handles a lease that an entry grants. A grant after a gap does not keep the runs
+	 * that were present before, since the entry may have given them up and may have
+	 * started their tasks elsewhere.
 	 * @param link the link
 	 * @param grant the grant
 	 */
 	public void granted(String link, LeaseGrant grant) {
+		this.sessions.find(link)
+			.filter((session) -> session.hadLapsedBefore(grant))
+			.ifPresent((session) -> this.runs.values()
+				.stream()
+				.filter((run) -> run.owner == session)
+				.forEach(SupervisedRun::excludeFromLaterGrants));
 		this.sessions.extendLease(link, grant);
 	}
 
--- a/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
+++ b/core/src/main/java/org/baobabspar/supervise/SupervisedRun.java
@@ -52,6 +52,8 @@
 
 	long stopConfirmedMillis;
 
+	private long latestEndMillis = Long.MAX_VALUE;
+
 	/** Whether the endpoint has reported the progress of the run. */
 	boolean progressReported;
 
@@ -71,10 +73,19 @@
 	/**
 	 * Returns when the run must end unless its owner extends its lease before. The owner
 	 * may start the task elsewhere some time later; see {@link LeaseTimes}.
-	 * @return the end of the owner's lease
+	 * @return the end of the owner's lease, without extensions after
+	 * {@link #excludeFromLaterGrants()}
 	 */
 	long mustEndMillis() {
-		return this.owner.leaseUntilMillis;
+		return Math.min(this.latestEndMillis, this.owner.leaseUntilMillis);
+	}
+
+	/**
+	 * Excludes the run from later extensions of its owner's lease, since the owner no
+	 * longer waits for its end or may have given it up.
+	 */
+	void excludeFromLaterGrants() {
+		this.latestEndMillis = mustEndMillis();
 	}
 
 	boolean matches(String task, long number) {
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorRenewalTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorRenewalTests.java
@@ -119,6 +119,40 @@
 			assertLeaseEndsBeforeRestart(this.lastGrantedMillis);
 		}
 
+		// Guards against a run that an entry has given up and then keeps by a new lease.
+		@Test
+		void areNotKeptByAGrantAfterTheLapse() {
+			runTasksOfTwoEntries();
+			passWithBothRunsListed(LeaseTimes.LOSS_MILLIS + TICK_MILLIS);
+			for (int i = 0; i < 20; i++) {
+				grant();
+				passWithBothRunsListed(TICK_MILLIS);
+			}
+			assertLeaseEndsBeforeRestart(this.lastGrantedMillis);
+		}
+
+		// Guards against a lapse that no tick has seen before the next grant.
+		@Test
+		void areStoppedIfTheGrantComesBeforeTheTick() {
+			runTasksOfTwoEntries();
+			this.nowMillis += LeaseTimes.ENTRY_LEASE_MILLIS + 10;
+			grant();
+			this.supervisor.tick(this.nowMillis);
+			Assert.assertTrue(this.driver.stops.contains("t1#1"));
+		}
+
+		// Guards against a stop of runs whose lease was extended without a gap.
+		@Test
+		void areNotThoseWithAGrantForARequestWithinTheLease() {
+			runTasksOfTwoEntries();
+			long requestMillis = this.nowMillis + LeaseTimes.ENTRY_LEASE_MILLIS - 1;
+			this.nowMillis = requestMillis + 10;
+			grantOther();
+			this.supervisor.granted(LINK, new LeaseGrant(requestMillis, 0));
+			this.supervisor.tick(this.nowMillis);
+			Assert.assertFalse(this.driver.stops.contains("t1#1"));
+		}
+
 		// Guards against a start that extends the lease of a run that should have ended.
 		@Test
 		void areNotRenewedByAStart() {
@@ -159,6 +193,43 @@
 
 	}
 
+	/**
+	 * Runs whose stop the entry has ordered, since their caller has an answer or has
+	 * left.
+	 */
+	public static class OrderedStops extends TwoEntriesFixture {
+
+		// Guards against a run that outlives the wait of a caller that has its answer.
+		@Test
+		void endTheRunsWithTheLeaseThatTheEntryHadThen() {
+			runTasksOfTwoEntries();
+			this.supervisor.stop(LINK, this.run, this.nowMillis);
+			for (int i = 0; i < 50; i++) {
+				grant();
+				passWithBothRunsListed(TICK_MILLIS);
+			}
+			assertLeaseEndsBeforeRestart(this.lastGrantedMillis);
+		}
+
+		// Guards against an order that is ignored because the agent itself stops the run.
+		@Test
+		void countAlsoForRunsThatAreBeingStopped() {
+			runTasksOfTwoEntries();
+			this.supervisor.startAnswered(orderOther("lost"), StartAnswer.UNKNOWN, this.nowMillis);
+			passWithBothRunsListed(TICK_MILLIS);
+			Assert.assertTrue(this.driver.stops.contains("lost#1"));
+			grant();
+			this.supervisor.stop(OTHER_LINK, new RunKey("other-job", "lost", 1), this.nowMillis);
+			long answeredMillis = this.nowMillis;
+			for (int i = 0; i < 50; i++) {
+				grant();
+				passWithBothRunsListed(TICK_MILLIS);
+			}
+			assertLeaseEndsBeforeRestart(answeredMillis);
+		}
+
+	}
+
 	/**
 	 * Runs that the agent stops while their entry waits for their end.
 	 */
