Agent: don't renew the endpoint's lease while orphaned runs may be present

What callers saw: possibly a task that ran twice at a time. Found by reading and by tests; no trace of a run shows it yet. Cause: a run that the endpoint lists and the agent doesn't know is stopped, but polls went on to renew its lease if the agent had other runs. The owner of such a run doesn't wait for its end. The list was also replaced by any answer, even one to an inventory that was requested before the run was listed. Before: areNotRenewedWithTheRunsOfEntries "expected [true] but found [false]" (the lease was extended past 700 ms after the listing), areGoneOnlyIfALaterInventoryDoesNotListThem "expected [SILENT] but found [READY]". After: no lease is set from the listing of an orphaned run until an inventory requested later doesn't list it. Conclusion: with its stop lost, an orphaned run ends with the lease that it had when it was first listed.

--- a/core/src/main/java/org/baobabspar/supervise/LeaseRenewals.java
+++ b/core/src/main/java/org/baobabspar/supervise/LeaseRenewals.java
@@ -13,8 +13,10 @@
  * Invariant: the lease is never extended past the time by which the owner of any run that
  * may be present may start its task elsewhere. For this a lease is counted from the
  * decision or from the earliest {@link SupervisedRun#mustEndMillis()}, whichever is
- * earlier; see {@link LeaseTimes} for the inequality. Each decision looks at all runs
- * itself, so it depends neither on the last tick nor on the order of events.
+ * earlier; see {@link LeaseTimes} for the inequality. While orphaned runs may be present
+ * it isn't extended at all, since the lease of their owner isn't known. Each decision
+ * looks at all runs itself, so it depends neither on the last tick nor on the order of
+ * events.
  * <p>
  * Example: a run must end at 1000 and its stop gets no answer. Until 1700 the endpoint
  * keeps the runs of other entries; if the end is listed before, they lose nothing.
@@ -31,6 +33,8 @@
 
 	private final Collection<SupervisedRun> runs;
 
+	private final OrphanedRuns orphanedRuns;
+
 	private final Consumer<String> log;
 
 	private long lastFromMillis;
@@ -46,11 +50,13 @@
 
 	/**
 	 * Creates the renewals of an endpoint's lease.
-	 * @param runs a view of all runs that may be present
+	 * @param runs a view of all runs that may be present and have an owner
+	 * @param orphanedRuns the runs that have none
 	 * @param log takes lines for the log
 	 */
-	LeaseRenewals(Collection<SupervisedRun> runs, Consumer<String> log) {
+	LeaseRenewals(Collection<SupervisedRun> runs, OrphanedRuns orphanedRuns, Consumer<String> log) {
 		this.runs = runs;
+		this.orphanedRuns = orphanedRuns;
 		this.log = log;
 	}
 
@@ -61,8 +67,14 @@
 	 * @return the lease, empty if the endpoint's lease must not be extended
 	 */
 	EndpointLease extend(String endpointId, long nowMillis) {
+		Optional<String> orphaned = this.orphanedRuns.example();
+		if (orphaned.isPresent()) {
+			logWithheld(endpointId, orphaned.get(), "unknown overdue_ms=unknown", nowMillis);
+			return EndpointLease.NONE;
+		}
 		Optional<SupervisedRun> overdue = mostOverdue(nowMillis);
-		overdue.ifPresent((run) -> logWithheld(endpointId, run, nowMillis));
+		overdue.ifPresent((run) -> logWithheld(endpointId, run.key.task() + "#" + run.key.number(),
+				run.owner.entry + " overdue_ms=" + (nowMillis - run.mustEndMillis()), nowMillis));
 		long fromMillis = overdue.map(SupervisedRun::mustEndMillis).orElse(nowMillis);
 		EndpointLease lease = EndpointLease.startingAt(fromMillis);
 		if (lease.untilMillis() <= nowMillis) {
@@ -85,7 +97,7 @@
 	 * @return whether starts are refused
 	 */
 	boolean preventStarts(long nowMillis) {
-		return mostOverdue(nowMillis - MAX_OVERDUE_MILLIS).isPresent();
+		return !this.orphanedRuns.isEmpty() || mostOverdue(nowMillis - MAX_OVERDUE_MILLIS).isPresent();
 	}
 
 	/**
@@ -95,7 +107,7 @@
 	 * @return whether starts are prevented now and were not before, or the reverse
 	 */
 	boolean review(String endpointId, long nowMillis) {
-		if (!this.withheldFor.isEmpty() && mostOverdue(nowMillis).isEmpty()) {
+		if (!this.withheldFor.isEmpty() && this.orphanedRuns.isEmpty() && mostOverdue(nowMillis).isEmpty()) {
 			this.log.accept("renewal=resumed endpoint=" + endpointId + " withheld_ms="
 					+ (nowMillis - this.withheldSinceMillis));
 			this.withheldFor = "";
@@ -108,21 +120,20 @@
 	/**
 	 * Logs one line for each run for which renewals are withheld.
 	 * @param endpointId the endpoint
-	 * @param run the run
+	 * @param run name of the run
+	 * @param owner its entry and how long it is overdue
 	 * @param nowMillis the current time
 	 */
-	private void logWithheld(String endpointId, SupervisedRun run, long nowMillis) {
-		String name = run.key.task() + "#" + run.key.number();
-		if (this.withheldFor.equals(name)) {
+	private void logWithheld(String endpointId, String run, String owner, long nowMillis) {
+		if (this.withheldFor.equals(run)) {
 			return;
 		}
 		if (this.withheldFor.isEmpty()) {
 			this.withheldSinceMillis = nowMillis;
 		}
-		this.withheldFor = name;
-		this.log.accept("renewal=withheld endpoint=" + endpointId + " run=" + name + " entry=" + run.owner.entry
-				+ " overdue_ms=" + (nowMillis - run.mustEndMillis()) + " lease_left_ms="
-				+ (EndpointLease.startingAt(this.lastFromMillis).untilMillis() - nowMillis));
+		this.withheldFor = run;
+		this.log.accept("renewal=withheld endpoint=" + endpointId + " run=" + run + " entry=" + owner
+				+ " lease_left_ms=" + (EndpointLease.startingAt(this.lastFromMillis).untilMillis() - nowMillis));
 	}
 
 	/**
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -1,5 +1,6 @@
 package org.baobabspar.supervise;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -95,10 +96,10 @@
 	private long lastCheckpointMillis;
 
 	/**
-	 * Tasks whose listed runs have no owner. Their room is unknown, so the endpoint gets
-	 * no new runs until they are gone.
+	 * Listed runs that have no owner. Their room is unknown, so the endpoint gets no new
+	 * runs until they are gone.
 	 */
-	private Set<String> orphanedTasks = new HashSet<>();
+	private final OrphanedRuns orphanedRuns = new OrphanedRuns();
 
 	/** Whether the endpoint's current incarnation has ever answered a poll. */
 	private boolean inventoryKnown;
@@ -144,7 +145,7 @@
 		this.outbox = outbox;
 		this.log = log;
 		this.sessions = new EntrySessionRegistry(outbox, log);
-		this.renewals = new LeaseRenewals(this.runs.values(), log);
+		this.renewals = new LeaseRenewals(this.runs.values(), this.orphanedRuns, log);
 	}
 
 	// The endpoint
@@ -238,7 +239,7 @@
 		}
 		double speed = (this.endpoint != null && hasSameHardware(report, this.endpoint)) ? this.health.baselineSpeed()
 				: 1;
-		this.orphanedTasks = new HashSet<>();
+		this.orphanedRuns.clear();
 		this.endpoint = report;
 		this.fencingToken++;
 		this.inventoryKnown = false;
@@ -325,11 +326,11 @@
 		if (!isCurrent(inventory)) {
 			return;
 		}
-		boolean wasUsable = !isSilent(nowMillis) && this.lastPollAnswered && this.orphanedTasks.isEmpty();
+		boolean wasUsable = !isSilent(nowMillis) && this.lastPollAnswered && this.orphanedRuns.isEmpty();
 		this.lastPollAnswered = true;
 		applyInventory(inventory, nowMillis);
 		this.inventoryKnown = true;
-		if (!wasUsable && this.orphanedTasks.isEmpty()) {
+		if (!wasUsable && this.orphanedRuns.isEmpty()) {
 			this.log.accept("endpoint=" + this.endpoint.endpointId() + " state=answering");
 			this.sessions.markStateChanged();
 		}
@@ -352,7 +353,7 @@
 
 	private void reconcilePresent(RunInventory inventory, long nowMillis) {
 		Set<String> present = new HashSet<>();
-		Set<String> orphaned = new HashSet<>();
+		List<PresentRun> orphaned = new ArrayList<>();
 		for (PresentRun listed : inventory.present()) {
 			SupervisedRun run = this.runs.get(listed.task());
 			if (run != null && run.matches(listed.task(), listed.number())) {
@@ -361,12 +362,12 @@
 				checkProgress(run, listed.percent(), nowMillis);
 			}
 			else {
-				orphaned.add(listed.task());
+				orphaned.add(listed);
 				this.log.accept("stop run=" + listed.task() + "#" + listed.number() + " reason=unknown_run");
 				this.driver.stop(listed.task(), listed.number(), this.fencingToken);
 			}
 		}
-		this.orphanedTasks = orphaned;
+		this.orphanedRuns.update(orphaned, inventory.sentMillis(), nowMillis);
 		boolean complete = inventory.ended().size() < MAX_LISTED_ENDS;
 		for (SupervisedRun run : List.copyOf(this.runs.values())) {
 			if (complete && !present.contains(run.key.task())) {
@@ -761,8 +762,7 @@
 	}
 
 	private EndpointState state(long nowMillis) {
-		if (this.endpoint == null || isSilent(nowMillis) || !this.orphanedTasks.isEmpty()
-				|| this.renewals.preventStarts(nowMillis)) {
+		if (this.endpoint == null || isSilent(nowMillis) || this.renewals.preventStarts(nowMillis)) {
 			return EndpointState.SILENT;
 		}
 		if (this.draining || this.endpoint.draining()) {
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorRenewalTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorRenewalTests.java
@@ -259,6 +259,45 @@
 
 	}
 
+	/**
+	 * Runs that the agent does not know, whose owner may start them elsewhere any time.
+	 */
+	public static class OrphanedRuns extends TwoEntriesFixture {
+
+		private static final PresentRun ORPHAN = new PresentRun("orphan", 3, 0);
+
+		// Guards against renewals for runs whose owner is not known.
+		@Test
+		void areNotRenewedWithTheRunsOfEntries() {
+			runTasksOfTwoEntries();
+			long listedMillis = this.nowMillis;
+			for (int i = 0; i < 20; i++) {
+				grant();
+				passListing(TICK_MILLIS, RUN, OTHER_RUN, ORPHAN);
+			}
+			Assert.assertTrue(this.driver.leaseUntilMillis <= listedMillis + LeaseTimes.ENDPOINT_LEASE_MILLIS);
+			grant();
+			passWithBothRunsListed(TICK_MILLIS);
+			Assert.assertEquals(this.driver.leaseUntilMillis, this.nowMillis + LeaseTimes.ENDPOINT_LEASE_MILLIS);
+		}
+
+		// Guards against an inventory that is older than the one with the orphaned run.
+		@Test
+		void areGoneOnlyIfALaterInventoryDoesNotListThem() {
+			runTasksOfTwoEntries();
+			long sentMillis = this.nowMillis;
+			this.nowMillis += 10;
+			observe(1, List.of(RUN, OTHER_RUN, ORPHAN), List.of());
+			this.supervisor.probeAnswered(
+					Optional.of(new RunInventory(sentMillis, 1, List.of(RUN, OTHER_RUN), List.of())), this.nowMillis);
+			Assert.assertEquals(state(), EndpointState.SILENT);
+			this.nowMillis += 10;
+			observe(1, List.of(RUN, OTHER_RUN), List.of());
+			Assert.assertEquals(state(), EndpointState.READY);
+		}
+
+	}
+
 	/**
 	 * Decisions to renew, between which and the call the agent may stand still.
 	 */
