--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -1,5 +1,6 @@
 package org.baobabspar.supervise;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -121,10 +122,10 @@
 	private long lastCheckpointMillis;
 
 	/**
-	 * Tasks whose listed runs have no owner. Their room is unknown, so the endpoint gets
-	 * no new runs until they are gone.
+	 * Listed runs that have no owner. Their room is unknown, so the endpoint gets no new
+	 * runs until they are gone.
 	 */
-	private Set<String> orphanedTasks = new HashSet<>();
+	private final OrphanedRuns orphanedRuns = new OrphanedRuns();
 
 	/** Whether the endpoint's current incarnation has ever answered a poll. */
 	private boolean inventoryKnown;
@@ -170,7 +171,7 @@
 		this.outbox = outbox;
 		this.log = log;
 		this.sessions = new EntrySessionRegistry(outbox, log);
-		this.renewals = new LeaseRenewals(this.runs.values(), log);
+		this.renewals = new LeaseRenewals(this.runs.values(), this.orphanedRuns, log);
 	}
 
 	// The endpoint
@@ -263,7 +264,7 @@
 		this.runs.values().forEach((run) -> run.invalidateConfirmations(nowMillis));
 		double speed = (this.endpoint != null && hasSameHardware(report, this.endpoint)) ? this.health.baselineSpeed()
 				: 1;
-		this.orphanedTasks = new HashSet<>();
+		this.orphanedRuns.clear();
 		this.endpoint = report;
 		this.attachedMillis = nowMillis;
 		this.incarnationAnswers = false;
@@ -379,12 +380,12 @@
 			attachToAnswering(inventory, nowMillis);
 			return;
 		}
-		boolean wasUsable = !isSilent(nowMillis) && this.lastPollAnswered && this.orphanedTasks.isEmpty();
+		boolean wasUsable = !isSilent(nowMillis) && this.lastPollAnswered && this.orphanedRuns.isEmpty();
 		this.lastPollAnswered = true;
 		applyInventory(inventory, nowMillis);
 		this.inventoryKnown = true;
 		this.incarnationAnswers = true;
-		if (!wasUsable && this.orphanedTasks.isEmpty()) {
+		if (!wasUsable && this.orphanedRuns.isEmpty()) {
 			this.log.accept("endpoint=" + this.endpoint.endpointId() + " state=answering");
 			this.sessions.markStateChanged();
 		}
@@ -407,7 +408,7 @@
 
 	private void reconcilePresent(RunInventory inventory, long nowMillis) {
 		Set<String> present = new HashSet<>();
-		Set<String> orphaned = new HashSet<>();
+		List<PresentRun> orphaned = new ArrayList<>();
 		for (PresentRun listed : inventory.present()) {
 			SupervisedRun run = this.runs.get(listed.task());
 			if (run != null && run.matches(listed.task(), listed.number())) {
@@ -416,12 +417,12 @@
 				checkProgress(run, listed.percent(), nowMillis);
 			}
 			else {
-				orphaned.add(listed.task());
+				orphaned.add(listed);
 				this.log.accept("stop run=" + listed.task() + "#" + listed.number() + " reason=unknown_run");
 				this.driver.stop(listed.task(), listed.number(), this.fencingToken);
 			}
 		}
-		this.orphanedTasks = orphaned;
+		this.orphanedRuns.update(orphaned, inventory.sentMillis(), nowMillis);
 		boolean complete = inventory.ended().size() < MAX_LISTED_ENDS;
 		for (SupervisedRun run : List.copyOf(this.runs.values())) {
 			if (complete && !present.contains(run.key.task())) {
@@ -642,6 +643,7 @@
 	public void stop(String link, RunKey key, long nowMillis) {
 		SupervisedRun run = this.runs.get(key.task());
 		if (run != null && run.key.equals(key)) {
+			run.excludeFromLaterGrants();
 			stop(run, nowMillis, "asked");
 		}
 	}
@@ -724,11 +726,19 @@
 	}
 
 	/**
-	 * Handles a lease that an entry grants.
+	 * Handles a lease that an entry grants. A grant after a gap does not keep the runs
+	 * that were present before, since the entry may have given them up and may have
+	 * started their tasks elsewhere.
 	 * @param link the link
 	 * @param grant the grant
 	 */
 	public void granted(String link, LeaseGrant grant) {
+		this.sessions.find(link)
+			.filter((session) -> session.hadLapsedBefore(grant))
+			.ifPresent((session) -> this.runs.values()
+				.stream()
+				.filter((run) -> run.owner == session)
+				.forEach(SupervisedRun::excludeFromLaterGrants));
 		this.sessions.extendLease(link, grant);
 	}
 
@@ -832,8 +842,7 @@
 	}
 
 	private EndpointState state(long nowMillis) {
-		if (this.endpoint == null || isSilent(nowMillis) || !this.orphanedTasks.isEmpty()
-				|| this.renewals.preventStarts(nowMillis)) {
+		if (this.endpoint == null || isSilent(nowMillis) || this.renewals.preventStarts(nowMillis)) {
 			return EndpointState.SILENT;
 		}
 		if (this.draining || this.endpoint.draining()) {
