Dispatch: stop listed runs that the entry has given up

What callers saw: a task of theirs ran twice at the same time, or kept running after their job had been answered.

Cause: an entry that counted an agent as lost forgot the agent's runs. When the same incarnation linked again and listed them, the entry looked only at its own outstanding tasks. Nobody stopped the listed runs, the entry granted the lease that kept them alive, and their tasks, pending again, were dispatched beside them. With correct clocks the wait before the loss covers this; a forward step of the entry's clock is enough.

A hello now stops every listed run that is unknown or has another number than the outstanding one, before any grant on that link. The task of such a run is held back until the agent reports the end, lists the run no more, or is lost for the full wait. The same holds for a job that the caller submits again while the listed run is still being stopped.

The agents, their links and the unwanted runs move out of Dispatcher into AgentRegistry and UnwantedRuns.

--- a/core/src/main/java/org/baobabspar/dispatch/DispatchedJob.java
+++ b/core/src/main/java/org/baobabspar/dispatch/DispatchedJob.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.baobabspar.dispatch.DispatchedTask.State;
 import org.baobabspar.fleet.JobSubmission;
@@ -31,6 +32,9 @@
 
 	private int remainingTasks;
 
+	/** Tells of the name of a task whether it must not be dispatched yet. */
+	private final Predicate<String> heldBack;
+
 	List<Consumer<JobReply>> callers = new ArrayList<>();
 
 	long receivedMillis;
@@ -52,9 +56,11 @@
 	 */
 	boolean closed;
 
-	DispatchedJob(JobSubmission order, Route route, RunTimeModel model, long nowMillis, long deadlineMillis) {
+	DispatchedJob(JobSubmission order, Route route, RunTimeModel model, Predicate<String> heldBack, long nowMillis,
+			long deadlineMillis) {
 		this.order = order;
 		this.route = route;
+		this.heldBack = heldBack;
 		this.receivedMillis = nowMillis;
 		this.deadlineMillis = deadlineMillis;
 		int steps = order.steps().size();
@@ -93,10 +99,11 @@
 	/**
 	 * Tells whether a task can be placed on an endpoint.
 	 * @param task the task
-	 * @return whether the task is pending and all steps on which it depends are done
+	 * @return whether the task is pending, all steps on which it depends are done and it
+	 * is not held back
 	 */
 	boolean ready(DispatchedTask task) {
-		return task.state == State.PENDING
+		return task.state == State.PENDING && !this.heldBack.test(task.name)
 				&& task.step.dependsOn().stream().allMatch((d) -> this.remainingByStep[d] == 0);
 	}
 
--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -19,7 +19,6 @@
 import org.baobabspar.message.RunStart;
 import org.baobabspar.message.RunStop;
 import org.baobabspar.message.SupervisorHello;
-import org.baobabspar.supervise.LeaseTimes;
 
 /**
  * Dispatches the jobs of one entry to the agents that are linked to it, and answers the
@@ -30,8 +29,8 @@
  * earlier runs have expired.
  * <p>
  * Invariants: a job is refused only if none of its tasks has started and none will; a
- * task is dispatched again only when its previous run is known to have ended. Not
- * thread-safe; used on the control thread only.
+ * task is dispatched again only when its previous run is known to have ended, and not
+ * while an agent lists a run of it. Not thread-safe; used on the control thread only.
  */
 public final class Dispatcher {
 
@@ -52,12 +51,6 @@
 	 */
 	private static final double LATE_JOB_MAX_UTILIZATION = 0.7;
 
-	/**
-	 * Time after the arrival of a new agent during which more are expected. The agents of
-	 * a restarted fleet arrive within 250 ms.
-	 */
-	private static final long FLEET_WARM_UP_MILLIS = 300;
-
 	private static final long RETRY_AFTER_SECONDS = 1;
 
 	private final String domain;
@@ -70,16 +63,7 @@
 
 	private final Map<String, Answer> answers = new LinkedHashMap<>();
 
-	/** Numbers of the links on which the hello of the agent is outstanding. */
-	private final Map<String, Long> linksAwaitingHello = new HashMap<>();
-
-	private long lastLinkNumber;
-
-	private final Map<String, AgentView> agentsByLink = new HashMap<>();
-
-	private final List<AgentView> agents = new ArrayList<>();
-
-	private long lastNewAgentMillis = -FLEET_WARM_UP_MILLIS;
+	private final AgentRegistry agents;
 
 	/**
 	 * Creates the dispatcher of an entry.
@@ -89,6 +73,7 @@
 	public Dispatcher(String domain, DispatchOutbox outbox) {
 		this.domain = domain;
 		this.outbox = outbox;
+		this.agents = new AgentRegistry(outbox);
 	}
 
 	// Jobs
@@ -124,7 +109,8 @@
 			caller.accept(reply);
 			return;
 		}
-		job = new DispatchedJob(order, route, this.runTimeModel, nowMillis, nowMillis + timeoutMillis);
+		job = new DispatchedJob(order, route, this.runTimeModel, this.agents::hasUnwantedRun, nowMillis,
+				nowMillis + timeoutMillis);
 		job.callers.add(caller);
 		this.jobs.put(order.id(), job);
 	}
@@ -136,7 +122,7 @@
 		if (this.jobs.size() >= MAX_JOBS) {
 			return Optional.of("entry_full");
 		}
-		List<AgentView> usable = usableAgents(route, nowMillis);
+		List<AgentView> usable = this.agents.usable(route, nowMillis);
 		boolean fits = usable.isEmpty() || order.steps()
 			.stream()
 			.allMatch((s) -> usable.stream().anyMatch((a) -> s.resources().fitsInto(a.status.capacity())));
@@ -282,7 +268,7 @@
 	 * @return whether a job could be placed
 	 */
 	public boolean servable(long nowMillis) {
-		return this.agents.stream().anyMatch((a) -> a.usable(nowMillis));
+		return this.agents.anyUsable(nowMillis);
 	}
 
 	// Agents
@@ -293,50 +279,18 @@
 	 * @return the number of the link, to be sent in the welcome
 	 */
 	public long registerLink(String link) {
-		this.linksAwaitingHello.put(link, ++this.lastLinkNumber);
-		return this.lastLinkNumber;
+		return this.agents.registerLink(link);
 	}
 
 	/**
-	 * Handles the hello of an agent.
-	 * <p>
-	 * A hello is ignored if it answers the welcome of an earlier link or arrives on a
-	 * link that the agent has replaced, since its list of runs may not include later
-	 * starts. Example: two links are interrupted one after the other, and the bytes of
-	 * the first arrive last.
+	 * Handles the hello of an agent. Runs that it lists and that are not wanted are
+	 * stopped.
 	 * @param link the link
 	 * @param hello the hello
 	 * @param nowMillis the current time
 	 */
 	public void handleHello(String link, SupervisorHello hello, long nowMillis) {
-		if (!this.linksAwaitingHello.remove(link, hello.linkNumber())) {
-			this.outbox.log("agent=" + hello.agent() + " hello=ignored link_number=" + hello.linkNumber());
-			return;
-		}
-		AgentView agent = this.agents.stream()
-			.filter((a) -> a.name.equals(hello.agent()) && a.incarnation == hello.incarnation())
-			.findFirst()
-			.orElseGet(() -> addAgent(hello, nowMillis));
-		if (hello.linkNumber() < agent.linkNumber) {
-			this.outbox.log("agent=" + hello.agent() + " hello=ignored link_number=" + hello.linkNumber() + " newer="
-					+ agent.linkNumber);
-			return;
-		}
-		if (agent.link != null) {
-			this.agentsByLink.remove(agent.link);
-		}
-		agent.linkNumber = hello.linkNumber();
-		agent.attachLink(link, hello.status(), hello.runs(), nowMillis);
-		this.agentsByLink.put(link, agent);
-		this.outbox.log("agent=" + agent.name + " incarnation=" + agent.incarnation + " state=linked endpoint="
-				+ hello.status().endpointId() + " runs=" + hello.runs().size());
-	}
-
-	private AgentView addAgent(SupervisorHello hello, long nowMillis) {
-		this.lastNewAgentMillis = nowMillis;
-		AgentView agent = new AgentView(hello.agent(), hello.incarnation(), hello.domain());
-		this.agents.add(agent);
-		return agent;
+		this.agents.handleHello(link, hello, nowMillis);
 	}
 
 	/**
@@ -346,10 +300,10 @@
 	 * @param nowMillis the current time
 	 */
 	public void handleLeaseRequest(String link, LeaseRequest request, long nowMillis) {
-		AgentView agent = this.agentsByLink.get(link);
-		if (agent == null) {
-			return;
-		}
+		this.agents.find(link).ifPresent((agent) -> handleLeaseRequest(agent, request, nowMillis));
+	}
+
+	private void handleLeaseRequest(AgentView agent, LeaseRequest request, long nowMillis) {
 		if (agent.status.state() != request.status().state()) {
 			this.outbox.log("agent=" + agent.name + " endpoint=" + request.status().endpointId() + " state="
 					+ request.status().state() + " speed=" + request.status().speed());
@@ -360,7 +314,7 @@
 			reconcile(agent, nowMillis);
 		}
 		if (agent.tryGrant(nowMillis)) {
-			this.outbox.send(link, new LeaseGrant(request.sentMillis(), agent.lastEndSequence));
+			this.outbox.send(agent.link, new LeaseGrant(request.sentMillis(), agent.lastEndSequence));
 		}
 	}
 
@@ -391,11 +345,14 @@
 	 * @param nowMillis the current time
 	 */
 	public void handleRunEnded(String link, RunEnded ended, long nowMillis) {
-		AgentView agent = this.agentsByLink.get(link);
-		if (agent == null || ended.sequence() <= agent.lastEndSequence) {
-			return;
-		}
+		this.agents.find(link)
+			.filter((agent) -> ended.sequence() > agent.lastEndSequence)
+			.ifPresent((agent) -> handleRunEnded(agent, ended, nowMillis));
+	}
+
+	private void handleRunEnded(AgentView agent, RunEnded ended, long nowMillis) {
 		agent.lastEndSequence = ended.sequence();
+		this.agents.recordEnd(agent, ended.run());
 		DispatchedTask task = agent.outstandingTasks.get(ended.run().task());
 		if (task != null && task.runKey().equals(ended.run())) {
 			endRun(task, ended.end(), ended.ranMillis(), nowMillis);
@@ -447,12 +404,7 @@
 	 * @param link the link
 	 */
 	public void unregisterLink(String link) {
-		this.linksAwaitingHello.remove(link);
-		AgentView agent = this.agentsByLink.remove(link);
-		if (agent != null) {
-			agent.link = null;
-			this.outbox.log("agent=" + agent.name + " state=unlinked runs=" + agent.outstandingTasks.size());
-		}
+		this.agents.unregisterLink(link);
 	}
 
 	// Time
@@ -463,9 +415,9 @@
 	 * @param nowMillis the current time
 	 */
 	public void tick(long nowMillis) {
-		for (AgentView agent : List.copyOf(this.agents)) {
-			if (nowMillis - agent.lastHeardMillis > LeaseTimes.LOSS_MILLIS) {
-				removeLostAgent(agent, nowMillis);
+		for (AgentView agent : this.agents.removeLost(nowMillis)) {
+			for (DispatchedTask task : List.copyOf(agent.outstandingTasks.values())) {
+				endRun(task, RunEnd.LOST, 0, nowMillis);
 			}
 		}
 		for (DispatchedJob job : List.copyOf(this.jobs.values())) {
@@ -480,25 +432,6 @@
 		place(nowMillis);
 	}
 
-	private void removeLostAgent(AgentView agent, long nowMillis) {
-		this.outbox.log("agent=" + agent.name + " incarnation=" + agent.incarnation + " state=lost silent_ms="
-				+ (nowMillis - agent.lastHeardMillis) + " runs=" + agent.outstandingTasks.size());
-		this.agents.remove(agent);
-		if (agent.link != null) {
-			this.agentsByLink.remove(agent.link);
-			this.outbox.close(agent.link);
-		}
-		for (DispatchedTask task : List.copyOf(agent.outstandingTasks.values())) {
-			endRun(task, RunEnd.LOST, 0, nowMillis);
-		}
-	}
-
-	private List<AgentView> usableAgents(Route route, long nowMillis) {
-		return this.agents.stream()
-			.filter((a) -> a.usable(nowMillis) && a.status.service().equals(route.service()))
-			.toList();
-	}
-
 	/**
 	 * Places ready tasks on endpoints. Jobs that can meet their objective come first. A
 	 * job that will miss it anyway gets only the room that they leave. Called after each
@@ -516,7 +449,7 @@
 		List<DispatchedJob> late = new ArrayList<>();
 		for (DispatchedJob job : placeable) {
 			EndpointSelector selector = selectors.computeIfAbsent(job.route.service(),
-					(s) -> new EndpointSelector(usableAgents(job.route, nowMillis), this.domain, nowMillis));
+					(s) -> new EndpointSelector(this.agents.usable(job.route, nowMillis), this.domain, nowMillis));
 			if (selector.empty()) {
 				declineUnlessInTime(job, nowMillis);
 			}
@@ -542,7 +475,7 @@
 		if (selector.utilization() <= LATE_JOB_MAX_UTILIZATION) {
 			place(job, selector, true, nowMillis);
 		}
-		else if (nowMillis - this.lastNewAgentMillis >= FLEET_WARM_UP_MILLIS) {
+		else if (!this.agents.expectsMore(nowMillis)) {
 			decline(job, "overload used=" + Math.round(100 * selector.utilization()), nowMillis);
 		}
 	}
--- a/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
@@ -32,7 +32,7 @@
 
 	private static final Resources CORE = new Resources(1_000, 64, 0);
 
-	private static final Route ROUTE = new Route("route", "host", "/p/", "service", 0, 2, 1.6, 60, "");
+	static final Route ROUTE = new Route("route", "host", "/p/", "service", 0, 2, 1.6, 60, "");
 
 	long nowMillis;
 
@@ -42,6 +42,8 @@
 
 	List<JobReply> replies;
 
+	List<String> logLines;
+
 	Dispatcher dispatcher;
 
 	@BeforeMethod
@@ -50,6 +52,7 @@
 		this.sentMessages = new TreeMap<>();
 		this.endSequences = new TreeMap<>();
 		this.replies = new ArrayList<>();
+		this.logLines = new ArrayList<>();
 		this.dispatcher = new Dispatcher("domain-1", new DispatchOutbox() {
 
 			@Override
@@ -63,6 +66,7 @@
 
 			@Override
 			public void log(String line) {
+				DispatcherTests.this.logLines.add(line);
 			}
 
 			@Override
