Dispatch: start nothing for a caller that waits no longer

What callers saw: a task was started for a request whose time-out had passed, while the caller's next attempt, 1300 ms after the time-out, was about to start at another entry.

Cause: the deadline of a job was counted from when the control thread took the job, not from when the request had been read, and a job past its deadline could be placed until the next tick declined it. An entry with a long queue kept granting leases to the runs of such a job.

The time that a request waits for the control thread now counts, a job whose time is up on arrival is refused, and nothing is placed after the deadline.

GivenUpRunsTests.ExpiredJobs failed before: refusesJobThatWaitedLonger- ThanItsCaller and startsNothingAfterDeadline, "lists don't have the same size expected [0] but found [1]". The change of EntryNode has no test of its own.

--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -83,7 +83,8 @@
 	 * gets the caller added.
 	 * @param order the job
 	 * @param route the route of the job
-	 * @param timeoutMillis the time for which the caller waits
+	 * @param timeoutMillis the time for which the caller still waits; not positive if it
+	 * waits no longer
 	 * @param caller receives the answer, exactly once
 	 * @param nowMillis the current time
 	 */
@@ -100,7 +101,8 @@
 			rejoin(job, timeoutMillis, caller, nowMillis);
 			return;
 		}
-		Optional<String> refusal = refusalReason(order, route, nowMillis);
+		Optional<String> refusal = (timeoutMillis > 0) ? refusalReason(order, route, nowMillis)
+				: Optional.of("deadline");
 		if (refusal.isPresent()) {
 			JobReply reply = new JobReply(JobOutcome.REFUSED, refusal.get(), RETRY_AFTER_SECONDS);
 			this.outbox
@@ -434,14 +436,15 @@
 
 	/**
 	 * Places ready tasks on endpoints. Jobs that can meet their objective come first. A
-	 * job that will miss it anyway gets only the room that they leave. Called after each
-	 * batch of events.
+	 * job that will miss it anyway gets only the room that they leave. A job whose
+	 * deadline has passed gets none, since its caller may be at another entry. Called
+	 * after each batch of events.
 	 * @param nowMillis the current time
 	 */
 	public void place(long nowMillis) {
 		List<DispatchedJob> placeable = this.jobs.values()
 			.stream()
-			.filter(DispatchedJob::placeable)
+			.filter((j) -> nowMillis < j.deadlineMillis && j.placeable())
 			.sorted(Comparator.comparingInt((DispatchedJob j) -> j.route.priority())
 				.thenComparingDouble((j) -> j.receivedMillis + j.objectiveMillis()))
 			.toList();
--- a/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
@@ -182,4 +182,31 @@
 
 	}
 
+	/**
+	 * Jobs whose caller has stopped waiting by the time at which they could be placed.
+	 */
+	public static class ExpiredJobs extends GivenUpRunsTests {
+
+		/** Guards against a start for a caller that has turned to another entry. */
+		@Test
+		void refusesJobThatWaitedLongerThanItsCaller() {
+			linkAgent("a", 8, 1);
+			this.dispatcher.submit(createJob("j", 1, 100), ROUTE, -1, this.replies::add, this.nowMillis);
+			this.dispatcher.place(this.nowMillis);
+			Assert.assertEquals(startedRuns("a"), List.of());
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.REFUSED));
+		}
+
+		/** Guards against a start after the deadline when the next tick is late. */
+		@Test
+		void startsNothingAfterDeadline() {
+			submit(createJob("j", 1, 100_000));
+			this.nowMillis += 10_000;
+			linkAgent("a", 8, 1);
+			this.dispatcher.place(this.nowMillis);
+			Assert.assertEquals(startedRuns("a"), List.of());
+		}
+
+	}
+
 }
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -198,7 +198,8 @@
 	}
 
 	/**
-	 * Submits a job. Cancelling the subscription abandons the job.
+	 * Submits a job. Cancelling the subscription abandons the job. The time that the job
+	 * waits for the control thread counts as part of the time for which the caller waits.
 	 * @param order the job
 	 * @param route the route of the job
 	 * @param timeoutMillis the time for which the caller waits
@@ -206,10 +207,12 @@
 	 */
 	public Mono<JobReply> submit(JobSubmission order, Route route, long timeoutMillis) {
 		return Mono.create((sink) -> {
+			long receivedMillis = this.clock.now();
 			Consumer<JobReply> caller = sink::success;
 			sink.onCancel(() -> this.control.run(() -> this.dispatcher.abandon(order.id(), caller, checkedNow())));
 			this.control.run(() -> {
-				this.dispatcher.submit(order, route, timeoutMillis, caller, checkedNow());
+				long now = checkedNow();
+				this.dispatcher.submit(order, route, timeoutMillis - (now - receivedMillis), caller, now);
 				schedulePlacement();
 			});
 		});
