Agent: count an endpoint's lease from the decision, not from the call

What callers saw: a task ran twice at the same time for some tens of milliseconds, or up to 700 ms if its stop was not answered.

Cause: a start is checked for its age and its entry's lease when it arrives, and its deadline at the endpoint was computed from the clock when the request was written. A process that stood still in between, for any time, sent a start with a full fresh lease after its entry had waited LOSS_MILLIS and had started the task elsewhere. The same holds for a renewal. After a pause of more than ENDPOINT_EXPIRY_MILLIS at that place the supervisor also reported its runs as lost ("endpoint_silent", counted from the decision) while the endpoint held the fresh lease.

EndpointDriver now takes the end of the lease on the agent's clock, counted from the decision.

--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -279,8 +279,8 @@
 		else {
 			this.pollWaitMillis = ACTIVE_POLL_WAIT_MILLIS;
 			this.lastRenewalMillis = nowMillis;
-			this.driver.poll(LeaseTimes.ENDPOINT_LEASE_MILLIS, this.confirmedEndSequence, ACTIVE_POLL_WAIT_MILLIS,
-					this.fencingToken);
+			this.driver.poll(nowMillis + LeaseTimes.ENDPOINT_LEASE_MILLIS, this.confirmedEndSequence,
+					ACTIVE_POLL_WAIT_MILLIS, this.fencingToken);
 		}
 	}
 
@@ -494,7 +494,8 @@
 		SupervisedRun run = new SupervisedRun(order.run(), owner, order.resources(), order.expectedMillis(), nowMillis);
 		this.runs.put(order.run().task(), run);
 		this.lastRenewalMillis = nowMillis;
-		this.driver.start(order.run(), order.payload(), LeaseTimes.ENDPOINT_LEASE_MILLIS, this.fencingToken);
+		this.driver.start(order.run(), order.payload(), nowMillis + LeaseTimes.ENDPOINT_LEASE_MILLIS,
+				this.fencingToken);
 		this.sessions.markRoomChanged();
 	}
 
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
@@ -600,8 +600,9 @@
 		}
 
 		@Override
-		public void start(RunKey run, String payload, long leaseMillis, long fence) {
-			double deadlineMillis = this.endpoint.deadlineMillis(leaseMillis, SimulatedFleet.this.nowMillis);
+		public void start(RunKey run, String payload, long leaseUntilMillis, long fence) {
+			double deadlineMillis = this.endpoint.deadlineMillis(leaseUntilMillis - SimulatedFleet.this.nowMillis,
+					SimulatedFleet.this.nowMillis);
 			JobSubmission order = SimulatedFleet.this.callers.get(run.jobId()).order;
 			Step step = order.steps().get(0);
 			StartAnswer[] answer = new StartAnswer[1];
@@ -626,16 +627,16 @@
 		}
 
 		@Override
-		public void poll(long leaseMillis, long confirmed, long waitMillis, long fence) {
+		public void poll(long leaseUntilMillis, long confirmed, long waitMillis, long fence) {
 			long sentMillis = SimulatedFleet.this.nowMillis;
-			double deadlineMillis = this.endpoint.deadlineMillis(leaseMillis, sentMillis);
+			double deadlineMillis = this.endpoint.deadlineMillis(leaseUntilMillis - sentMillis, sentMillis);
 			RunInventory[] observation = new RunInventory[1];
 			boolean[] fenced = new boolean[1];
 			long delayMillis = Math.min(waitMillis, 10);
 			callEndpoint(() -> {
 				fenced[0] = !this.endpoint.admit(fence);
 				if (!fenced[0]) {
-					if (leaseMillis > 0) {
+					if (leaseUntilMillis > 0) {
 						this.endpoint.extend(deadlineMillis, SimulatedFleet.this.nowMillis);
 					}
 					observation[0] = observe(sentMillis, confirmed);
--- a/core/src/test/java/org/baobabspar/supervise/SupervisorFixture.java
+++ b/core/src/test/java/org/baobabspar/supervise/SupervisorFixture.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongSupplier;
 
 import org.baobabspar.fleet.EndpointState;
 import org.baobabspar.fleet.Resources;
@@ -36,7 +37,7 @@
 	@BeforeMethod
 	void create() {
 		this.nowMillis = 10_000;
-		this.driver = new RecordingDriver();
+		this.driver = new RecordingDriver(() -> this.nowMillis);
 		this.sent = new ArrayList<>();
 		this.lastStartSequence = 0;
 		this.supervisor = new RunSupervisor("agent-1", 1, "domain-1", 100, this.driver,
@@ -100,6 +101,8 @@
 
 	static final class RecordingDriver implements EndpointDriver {
 
+		private final LongSupplier clock;
+
 		final List<RunKey> starts = new ArrayList<>();
 
 		final List<String> stops = new ArrayList<>();
@@ -112,12 +115,16 @@
 
 		int probes;
 
+		RecordingDriver(LongSupplier clock) {
+			this.clock = clock;
+		}
+
 		@Override
 		public void attach(EndpointReport report) {
 		}
 
 		@Override
-		public void start(RunKey run, String payload, long leaseMillis, long fencingToken) {
+		public void start(RunKey run, String payload, long leaseUntilMillis, long fencingToken) {
 			this.starts.add(run);
 			this.lastFencingToken = fencingToken;
 		}
@@ -128,8 +135,8 @@
 		}
 
 		@Override
-		public void poll(long leaseMillis, long confirmedEnds, long waitMillis, long fencingToken) {
-			this.lastLeaseMillis = leaseMillis;
+		public void poll(long leaseUntilMillis, long confirmedEnds, long waitMillis, long fencingToken) {
+			this.lastLeaseMillis = (leaseUntilMillis > 0) ? leaseUntilMillis - this.clock.getAsLong() : 0;
 			this.lastWaitMillis = waitMillis;
 			this.lastFencingToken = fencingToken;
 		}
