Dispatch: log why a task is started again and how a job was taken

Callers saw two runs of a task, and the trace could not tell why the second one had been started: the entry logged that a run had ended, but not how it knew, and not which start followed from it.

A start that is not the first of its task now has a line with the run before, its agent, its end, the proof (reported, not listed, agent silent) and the age of that knowledge. Refusals that agents report are left out, since they are frequent under load and have a line of their own. The first placement of a job says whether the job was new or rejoined, and its age, in the line that exists already, so that two entries with one job can be lined up.

--- a/core/src/main/java/org/baobabspar/dispatch/DispatchedJob.java
+++ b/core/src/main/java/org/baobabspar/dispatch/DispatchedJob.java
@@ -44,6 +44,9 @@
 	/** Time of the first dispatch of a task, 0 before that. */
 	long firstDispatchMillis;
 
+	/** How the entry got the job from its last caller, for the log. */
+	String origin = "new";
+
 	/** Number of runs that were dispatched and whose end is not known. */
 	int outstandingRuns;
 
--- a/core/src/main/java/org/baobabspar/dispatch/DispatchedTask.java
+++ b/core/src/main/java/org/baobabspar/dispatch/DispatchedTask.java
@@ -48,6 +48,9 @@
 	/** The agent to which the task is dispatched, {@code null} in any other state. */
 	AgentView agent;
 
+	/** The run before the current one, {@code null} if there was none. */
+	PreviousRun previousRun;
+
 	DispatchedTask(DispatchedJob job, int stepIndex, int taskIndex) {
 		this.job = job;
 		this.stepIndex = stepIndex;
--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 
 import org.baobabspar.dispatch.DispatchedTask.State;
+import org.baobabspar.dispatch.PreviousRun.Proof;
 import org.baobabspar.fleet.JobSubmission;
 import org.baobabspar.fleet.Route;
 import org.baobabspar.fleet.RunEnd;
@@ -92,7 +93,8 @@
 			long nowMillis) {
 		Answer known = this.answers.get(order.id());
 		if (known != null) {
-			this.outbox.log("job=" + order.id() + " answer=repeated outcome=" + known.reply.outcome());
+			this.outbox.log("job=" + order.id() + " answer=repeated outcome=" + known.reply.outcome()
+					+ " answered_ms_ago=" + (nowMillis - known.answeredMillis));
 			caller.accept(known.reply);
 			return;
 		}
@@ -140,7 +142,9 @@
 	 * @param nowMillis the current time
 	 */
 	private void rejoin(DispatchedJob job, long timeoutMillis, Consumer<JobReply> caller, long nowMillis) {
-		this.outbox.log("job=" + job.order.id() + " answer=rejoined given_up=" + job.closed);
+		this.outbox.log("job=" + job.order.id() + " answer=rejoined given_up=" + job.closed + " runs="
+				+ job.outstandingRuns + " timeout_ms=" + timeoutMillis);
+		job.origin = "rejoined";
 		job.callers.add(caller);
 		job.deadlineMillis = nowMillis + timeoutMillis;
 		if (job.closed) {
@@ -331,7 +335,7 @@
 	private void reconcile(AgentView agent, long nowMillis) {
 		for (DispatchedTask task : List.copyOf(agent.outstandingTasks.values())) {
 			if (!agent.listedRuns.contains(task.runKey())) {
-				endRun(task, RunEnd.REFUSED, 0, nowMillis);
+				endRun(task, RunEnd.REFUSED, Proof.NOT_LISTED, 0, nowMillis);
 			}
 			else if (task.job.closed) {
 				this.outbox.send(agent.link, new RunStop(task.runKey()));
@@ -357,20 +361,21 @@
 		this.agents.recordEnd(agent, ended.run());
 		DispatchedTask task = agent.outstandingTasks.get(ended.run().task());
 		if (task != null && task.runKey().equals(ended.run())) {
-			endRun(task, ended.end(), ended.ranMillis(), nowMillis);
+			endRun(task, ended.end(), Proof.REPORTED, ended.ranMillis(), nowMillis);
 		}
 	}
 
-	private void endRun(DispatchedTask task, RunEnd end, long ranMillis, long nowMillis) {
+	private void endRun(DispatchedTask task, RunEnd end, Proof proof, long ranMillis, long nowMillis) {
 		DispatchedJob job = task.job;
 		AgentView agent = task.agent;
 		agent.outstandingTasks.remove(task.name);
 		task.agent = null;
 		job.outstandingRuns--;
 		job.started |= end.mayHaveStarted();
+		task.previousRun = new PreviousRun(task.runNumber, agent.name, end, proof, nowMillis);
 		if (end != RunEnd.DONE) {
 			this.outbox.log("run=" + task.name + "#" + task.runNumber + " agent=" + agent.name + " end=" + end
-					+ " ran_ms=" + ranMillis + " failures=" + task.failures);
+					+ " proof=" + proof + " ran_ms=" + ranMillis + " failures=" + task.failures);
 		}
 		if (end == RunEnd.DONE) {
 			job.markDone(task);
@@ -419,7 +424,7 @@
 	public void tick(long nowMillis) {
 		for (AgentView agent : this.agents.removeLost(nowMillis)) {
 			for (DispatchedTask task : List.copyOf(agent.outstandingTasks.values())) {
-				endRun(task, RunEnd.LOST, 0, nowMillis);
+				endRun(task, RunEnd.LOST, Proof.AGENT_SILENT, 0, nowMillis);
 			}
 		}
 		for (DispatchedJob job : List.copyOf(this.jobs.values())) {
@@ -490,7 +495,8 @@
 		}
 		if (!assignments.isEmpty()) {
 			this.outbox.log("job=" + job.order.id() + " route=" + job.route.name() + " placed=" + describe(assignments)
-					+ " late=" + late + " predicted_ms=" + Math.round(job.criticalPathMillis));
+					+ " origin=" + job.origin + " age_ms=" + (nowMillis - job.receivedMillis) + " late=" + late
+					+ " predicted_ms=" + Math.round(job.criticalPathMillis));
 		}
 	}
 
@@ -517,6 +523,10 @@
 	private void dispatch(DispatchedTask task, AgentView agent, long nowMillis) {
 		task.job.markDispatched(task);
 		task.agent = agent;
+		if (task.previousRun != null && task.previousRun.explainsRestart()) {
+			this.outbox.log("run=" + task.name + "#" + task.runNumber + " agent=" + agent.name + " restarted "
+					+ task.previousRun.describe(nowMillis));
+		}
 		if (task.job.firstDispatchMillis == 0) {
 			task.job.firstDispatchMillis = nowMillis;
 		}
--- a/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
@@ -209,4 +209,45 @@
 
 	}
 
+	/**
+	 * Log lines that explain why a task was started again.
+	 */
+	public static class LogLines extends GivenUpRunsTests {
+
+		/** Guards against a second start that the log does not explain. */
+		@Test
+		void explainsRestartOfLostRun() {
+			startRun("a");
+			loseAgents();
+			linkAgent("b", 8, 1);
+			this.nowMillis += 7;
+			this.dispatcher.place(this.nowMillis);
+			Assert
+				.assertTrue(this.logLines.contains("run=j/0/0#2 agent=b restarted previous=#1 previous_agent=a end=LOST"
+						+ " proof=AGENT_SILENT ended_ms_ago=7"), this.logLines.toString());
+		}
+
+		/** Guards against a flood of lines when agents refuse runs under load. */
+		@Test
+		void doesNotExplainReportedRefusals() {
+			RunKey run = startRun("a");
+			endRun("a", run, RunEnd.REFUSED);
+			Assert.assertEquals(startedRuns("a").size(), 2);
+			Assert.assertTrue(this.logLines.stream().noneMatch((line) -> line.contains(" restarted ")));
+		}
+
+		/** Guards against entries whose shares in one job cannot be told apart. */
+		@Test
+		void tellsHowJobWasTaken() {
+			RunKey run = startRun("a");
+			Assert.assertTrue(this.logLines.stream().anyMatch((line) -> line.contains("origin=new age_ms=0")));
+			this.dispatcher.declineAll("test", this.nowMillis);
+			submit(createJob("j", 1, 100));
+			endRun("a", run, RunEnd.STOPPED);
+			Assert.assertTrue(this.logLines.contains("job=j answer=rejoined given_up=true runs=1 timeout_ms=10000"));
+			Assert.assertTrue(this.logLines.stream().anyMatch((line) -> line.contains("origin=rejoined")));
+		}
+
+	}
+
 }
