--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 
 import org.baobabspar.dispatch.DispatchedTask.State;
+import org.baobabspar.dispatch.PreviousRun.Proof;
 import org.baobabspar.fleet.JobSubmission;
 import org.baobabspar.fleet.Route;
 import org.baobabspar.fleet.RunEnd;
@@ -20,7 +21,6 @@
 import org.baobabspar.message.RunStart;
 import org.baobabspar.message.RunStop;
 import org.baobabspar.message.SupervisorHello;
-import org.baobabspar.supervise.LeaseTimes;
 
 /**
  * Dispatches the jobs of one entry to the agents that are linked to it, and answers the
@@ -31,8 +31,8 @@
  * earlier runs have expired.
  * <p>
  * Invariants: a job is refused only if none of its tasks has started and none will; a
- * task is dispatched again only when its previous run is known to have ended. Not
- * thread-safe; used on the control thread only.
+ * task is dispatched again only when its previous run is known to have ended, and not
+ * while an agent lists a run of it. Not thread-safe; used on the control thread only.
  */
 public final class Dispatcher {
 
@@ -53,12 +53,6 @@
 	 */
 	private static final double LATE_JOB_MAX_UTILIZATION = 0.7;
 
-	/**
-	 * Time after the arrival of a new agent during which more are expected. The agents of
-	 * a restarted fleet arrive within 250 ms.
-	 */
-	private static final long FLEET_WARM_UP_MILLIS = 300;
-
 	private static final long RETRY_AFTER_SECONDS = 1;
 
 	/** Suspension of this VM after which callers may have turned to another entry. */
@@ -76,20 +70,11 @@
 
 	private final Map<String, Answer> answers = new LinkedHashMap<>();
 
-	/** Numbers of the links on which the hello of the agent is outstanding. */
-	private final Map<String, Long> linksAwaitingHello = new HashMap<>();
-
-	private long lastLinkNumber;
-
-	private final Map<String, AgentView> agentsByLink = new HashMap<>();
-
-	private final List<AgentView> agents = new ArrayList<>();
+	private final AgentRegistry agents;
 
 	private final SuspensionDetector suspensions = new SuspensionDetector(MIN_SUSPENSION_MILLIS,
 			SUSPENSION_WINDOW_MILLIS);
 
-	private long lastNewAgentMillis = -FLEET_WARM_UP_MILLIS;
-
 	/**
 	 * Creates the dispatcher of an entry.
 	 * @param domain the failure domain of the entry
@@ -98,6 +83,7 @@
 	public Dispatcher(String domain, DispatchOutbox outbox) {
 		this.domain = domain;
 		this.outbox = outbox;
+		this.agents = new AgentRegistry(outbox);
 	}
 
 	// Jobs
@@ -107,7 +93,8 @@
 	 * gets the caller added.
 	 * @param order the job
 	 * @param route the route of the job
-	 * @param timeoutMillis the time for which the caller waits
+	 * @param timeoutMillis the time for which the caller still waits; not positive if it
+	 * waits no longer
 	 * @param caller receives the answer, exactly once
 	 * @param nowMillis the current time
 	 */
@@ -115,7 +102,8 @@
 			long nowMillis) {
 		Answer known = this.answers.get(order.id());
 		if (known != null) {
-			this.outbox.log("job=" + order.id() + " answer=repeated outcome=" + known.reply.outcome());
+			this.outbox.log("job=" + order.id() + " answer=repeated outcome=" + known.reply.outcome()
+					+ " answered_ms_ago=" + (nowMillis - known.answeredMillis));
 			caller.accept(known.reply);
 			return;
 		}
@@ -124,7 +112,8 @@
 			rejoin(job, timeoutMillis, caller, nowMillis);
 			return;
 		}
-		Optional<String> refusal = refusalReason(order, route, nowMillis);
+		Optional<String> refusal = (timeoutMillis > 0) ? refusalReason(order, route, nowMillis)
+				: Optional.of("deadline");
 		if (refusal.isPresent()) {
 			JobReply reply = new JobReply(JobOutcome.REFUSED, refusal.get(), RETRY_AFTER_SECONDS);
 			this.outbox
@@ -133,7 +122,8 @@
 			caller.accept(reply);
 			return;
 		}
-		job = new DispatchedJob(order, route, this.runTimeModel, nowMillis, nowMillis + timeoutMillis);
+		job = new DispatchedJob(order, route, this.runTimeModel, this.agents::hasUnwantedRun, nowMillis,
+				nowMillis + timeoutMillis);
 		job.callers.add(caller);
 		this.jobs.put(order.id(), job);
 	}
@@ -145,7 +135,7 @@
 		if (this.jobs.size() >= MAX_JOBS) {
 			return Optional.of("entry_full");
 		}
-		List<AgentView> usable = usableAgents(route, nowMillis);
+		List<AgentView> usable = this.agents.usable(route, nowMillis);
 		boolean fits = usable.isEmpty() || order.steps()
 			.stream()
 			.allMatch((s) -> usable.stream().anyMatch((a) -> s.resources().fitsInto(a.status.capacity())));
@@ -161,7 +151,9 @@
 	 * @param nowMillis the current time
 	 */
 	private void rejoin(DispatchedJob job, long timeoutMillis, Consumer<JobReply> caller, long nowMillis) {
-		this.outbox.log("job=" + job.order.id() + " answer=rejoined given_up=" + job.closed);
+		this.outbox.log("job=" + job.order.id() + " answer=rejoined given_up=" + job.closed + " runs="
+				+ job.outstandingRuns + " timeout_ms=" + timeoutMillis);
+		job.origin = "rejoined";
 		job.callers.add(caller);
 		job.deadlineMillis = nowMillis + timeoutMillis;
 		if (job.closed) {
@@ -291,7 +283,7 @@
 	 * @return whether a job could be placed
 	 */
 	public boolean servable(long nowMillis) {
-		return this.agents.stream().anyMatch((a) -> a.usable(nowMillis));
+		return this.agents.anyUsable(nowMillis);
 	}
 
 	// Agents
@@ -302,50 +294,18 @@
 	 * @return the number of the link, to be sent in the welcome
 	 */
 	public long registerLink(String link) {
-		this.linksAwaitingHello.put(link, ++this.lastLinkNumber);
-		return this.lastLinkNumber;
+		return this.agents.registerLink(link);
 	}
 
 	/**
-	 * Handles the hello of an agent.
-	 * <p>
-	 * A hello is ignored if it answers the welcome of an earlier link or arrives on a
-	 * link that the agent has replaced, since its list of runs may not include later
-	 * starts. Example: two links are interrupted one after the other, and the bytes of
-	 * the first arrive last.
+	 * Handles the hello of an agent. Runs that it lists and that are not wanted are
+	 * stopped.
 	 * @param link the link
 	 * @param hello the hello
 	 * @param nowMillis the current time
 	 */
 	public void handleHello(String link, SupervisorHello hello, long nowMillis) {
-		if (!this.linksAwaitingHello.remove(link, hello.linkNumber())) {
-			this.outbox.log("agent=" + hello.agent() + " hello=ignored link_number=" + hello.linkNumber());
-			return;
-		}
-		AgentView agent = this.agents.stream()
-			.filter((a) -> a.name.equals(hello.agent()) && a.incarnation == hello.incarnation())
-			.findFirst()
-			.orElseGet(() -> addAgent(hello, nowMillis));
-		if (hello.linkNumber() < agent.linkNumber) {
-			this.outbox.log("agent=" + hello.agent() + " hello=ignored link_number=" + hello.linkNumber() + " newer="
-					+ agent.linkNumber);
-			return;
-		}
-		if (agent.link != null) {
-			this.agentsByLink.remove(agent.link);
-		}
-		agent.linkNumber = hello.linkNumber();
-		agent.attachLink(link, hello.status(), hello.runs(), nowMillis);
-		this.agentsByLink.put(link, agent);
-		this.outbox.log("agent=" + agent.name + " incarnation=" + agent.incarnation + " state=linked endpoint="
-				+ hello.status().endpointId() + " runs=" + hello.runs().size());
-	}
-
-	private AgentView addAgent(SupervisorHello hello, long nowMillis) {
-		this.lastNewAgentMillis = nowMillis;
-		AgentView agent = new AgentView(hello.agent(), hello.incarnation(), hello.domain());
-		this.agents.add(agent);
-		return agent;
+		this.agents.handleHello(link, hello, nowMillis);
 	}
 
 	/**
@@ -355,10 +315,10 @@
 	 * @param nowMillis the current time
 	 */
 	public void handleLeaseRequest(String link, LeaseRequest request, long nowMillis) {
-		AgentView agent = this.agentsByLink.get(link);
-		if (agent == null) {
-			return;
-		}
+		this.agents.find(link).ifPresent((agent) -> handleLeaseRequest(agent, request, nowMillis));
+	}
+
+	private void handleLeaseRequest(AgentView agent, LeaseRequest request, long nowMillis) {
 		if (agent.status.state() != request.status().state()) {
 			this.outbox.log("agent=" + agent.name + " endpoint=" + request.status().endpointId() + " state="
 					+ request.status().state() + " speed=" + request.status().speed());
@@ -370,7 +330,7 @@
 			reconcile(agent, nowMillis);
 		}
 		if (agent.tryGrant(nowMillis)) {
-			this.outbox.send(link, new LeaseGrant(request.sentMillis(), agent.lastEndSequence));
+			this.outbox.send(agent.link, new LeaseGrant(request.sentMillis(), agent.lastEndSequence));
 		}
 	}
 
@@ -400,7 +360,7 @@
 	private void reconcile(AgentView agent, long nowMillis) {
 		for (DispatchedTask task : List.copyOf(agent.outstandingTasks.values())) {
 			if (!agent.listedRuns.contains(task.runKey())) {
-				endRun(task, RunEnd.REFUSED, 0, nowMillis);
+				endRun(task, RunEnd.REFUSED, Proof.NOT_LISTED, 0, nowMillis);
 			}
 			else if (task.job.closed) {
 				this.outbox.send(agent.link, new RunStop(task.runKey()));
@@ -416,27 +376,31 @@
 	 * @param nowMillis the current time
 	 */
 	public void handleRunEnded(String link, RunEnded ended, long nowMillis) {
-		AgentView agent = this.agentsByLink.get(link);
-		if (agent == null || ended.sequence() <= agent.lastEndSequence) {
-			return;
-		}
+		this.agents.find(link)
+			.filter((agent) -> ended.sequence() > agent.lastEndSequence)
+			.ifPresent((agent) -> handleRunEnded(agent, ended, nowMillis));
+	}
+
+	private void handleRunEnded(AgentView agent, RunEnded ended, long nowMillis) {
 		agent.lastEndSequence = ended.sequence();
+		this.agents.recordEnd(agent, ended.run());
 		DispatchedTask task = agent.outstandingTasks.get(ended.run().task());
 		if (task != null && task.runKey().equals(ended.run())) {
-			endRun(task, ended.end(), ended.ranMillis(), nowMillis);
+			endRun(task, ended.end(), Proof.REPORTED, ended.ranMillis(), nowMillis);
 		}
 	}
 
-	private void endRun(DispatchedTask task, RunEnd end, long ranMillis, long nowMillis) {
+	private void endRun(DispatchedTask task, RunEnd end, Proof proof, long ranMillis, long nowMillis) {
 		DispatchedJob job = task.job;
 		AgentView agent = task.agent;
 		agent.outstandingTasks.remove(task.name);
 		task.agent = null;
 		job.outstandingRuns--;
 		job.started |= end.mayHaveStarted();
+		task.previousRun = new PreviousRun(task.runNumber, agent.name, end, proof, nowMillis);
 		if (end != RunEnd.DONE) {
 			this.outbox.log("run=" + task.name + "#" + task.runNumber + " agent=" + agent.name + " end=" + end
-					+ " ran_ms=" + ranMillis + " failures=" + task.failures);
+					+ " proof=" + proof + " ran_ms=" + ranMillis + " failures=" + task.failures);
 		}
 		if (end == RunEnd.DONE) {
 			job.markDone(task);
@@ -472,12 +436,7 @@
 	 * @param link the link
 	 */
 	public void unregisterLink(String link) {
-		this.linksAwaitingHello.remove(link);
-		AgentView agent = this.agentsByLink.remove(link);
-		if (agent != null) {
-			agent.link = null;
-			this.outbox.log("agent=" + agent.name + " state=unlinked runs=" + agent.outstandingTasks.size());
-		}
+		this.agents.unregisterLink(link);
 	}
 
 	// Time
@@ -488,9 +447,10 @@
 	 * @param nowMillis the current time
 	 */
 	public void tick(long nowMillis) {
-		for (AgentView agent : List.copyOf(this.agents)) {
-			if (nowMillis - agent.lastHeardMillis > LeaseTimes.LOSS_MILLIS) {
-				removeLostAgent(agent, nowMillis);
+		for (AgentView agent : this.agents.removeLost(nowMillis)) {
+			this.suspensions.forget(agent.incarnationName());
+			for (DispatchedTask task : List.copyOf(agent.outstandingTasks.values())) {
+				endRun(task, RunEnd.LOST, Proof.AGENT_SILENT, 0, nowMillis);
 			}
 		}
 		for (DispatchedJob job : List.copyOf(this.jobs.values())) {
@@ -505,36 +465,17 @@
 		place(nowMillis);
 	}
 
-	private void removeLostAgent(AgentView agent, long nowMillis) {
-		this.outbox.log("agent=" + agent.name + " incarnation=" + agent.incarnation + " state=lost silent_ms="
-				+ (nowMillis - agent.lastHeardMillis) + " runs=" + agent.outstandingTasks.size());
-		this.agents.remove(agent);
-		this.suspensions.forget(agent.incarnationName());
-		if (agent.link != null) {
-			this.agentsByLink.remove(agent.link);
-			this.outbox.close(agent.link);
-		}
-		for (DispatchedTask task : List.copyOf(agent.outstandingTasks.values())) {
-			endRun(task, RunEnd.LOST, 0, nowMillis);
-		}
-	}
-
-	private List<AgentView> usableAgents(Route route, long nowMillis) {
-		return this.agents.stream()
-			.filter((a) -> a.usable(nowMillis) && a.status.service().equals(route.service()))
-			.toList();
-	}
-
 	/**
 	 * Places ready tasks on endpoints. Jobs that can meet their objective come first. A
-	 * job that will miss it anyway gets only the room that they leave. Called after each
-	 * batch of events.
+	 * job that will miss it anyway gets only the room that they leave. A job whose
+	 * deadline has passed gets none, since its caller may be at another entry. Called
+	 * after each batch of events.
 	 * @param nowMillis the current time
 	 */
 	public void place(long nowMillis) {
 		List<DispatchedJob> placeable = this.jobs.values()
 			.stream()
-			.filter(DispatchedJob::placeable)
+			.filter((j) -> nowMillis < j.deadlineMillis && j.placeable())
 			.sorted(Comparator.comparingInt((DispatchedJob j) -> j.route.priority())
 				.thenComparingDouble((j) -> j.receivedMillis + j.objectiveMillis()))
 			.toList();
@@ -542,7 +483,7 @@
 		List<DispatchedJob> late = new ArrayList<>();
 		for (DispatchedJob job : placeable) {
 			EndpointSelector selector = selectors.computeIfAbsent(job.route.service(),
-					(s) -> new EndpointSelector(usableAgents(job.route, nowMillis), this.domain, nowMillis));
+					(s) -> new EndpointSelector(this.agents.usable(job.route, nowMillis), this.domain, nowMillis));
 			if (selector.empty()) {
 				declineUnlessInTime(job, nowMillis);
 			}
@@ -568,7 +509,7 @@
 		if (selector.utilization() <= LATE_JOB_MAX_UTILIZATION) {
 			place(job, selector, true, nowMillis);
 		}
-		else if (nowMillis - this.lastNewAgentMillis >= FLEET_WARM_UP_MILLIS) {
+		else if (!this.agents.expectsMore(nowMillis)) {
 			decline(job, "overload used=" + Math.round(100 * selector.utilization()), nowMillis);
 		}
 	}
@@ -580,7 +521,8 @@
 		}
 		if (!assignments.isEmpty()) {
 			this.outbox.log("job=" + job.order.id() + " route=" + job.route.name() + " placed=" + describe(assignments)
-					+ " late=" + late + " predicted_ms=" + Math.round(job.criticalPathMillis));
+					+ " origin=" + job.origin + " age_ms=" + (nowMillis - job.receivedMillis) + " late=" + late
+					+ " predicted_ms=" + Math.round(job.criticalPathMillis));
 		}
 	}
 
@@ -607,6 +549,10 @@
 	private void dispatch(DispatchedTask task, AgentView agent, long nowMillis) {
 		task.job.markDispatched(task);
 		task.agent = agent;
+		if (task.previousRun != null && task.previousRun.explainsRestart()) {
+			this.outbox.log("run=" + task.name + "#" + task.runNumber + " agent=" + agent.name + " restarted "
+					+ task.previousRun.describe(nowMillis));
+		}
 		if (task.job.firstDispatchMillis == 0) {
 			task.job.firstDispatchMillis = nowMillis;
 		}
