--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -371,7 +371,7 @@
 		applyInventory(inventory, nowMillis);
 		this.inventoryKnown = true;
 		this.incarnationAnswers = true;
-		if (!wasUsable && this.orphanedTasks.isEmpty()) {
+		if (!wasUsable && isReported() && this.orphanedTasks.isEmpty()) {
 			this.log.accept("endpoint=" + this.endpoint.endpointId() + " state=answering");
 			this.sessions.markStateChanged();
 		}
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorIncarnationTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorIncarnationTests.java
@@ -96,6 +96,20 @@
 			Assert.assertEquals(free, CORE);
 		}
 
+		/** Guards against a status sent to all entries with every answer. */
+		@Test
+		void areNotAnnouncedWithEachAnswer() {
+			attach(1);
+			link();
+			advance(10);
+			observe(2, List.of(), List.of());
+			this.supervisor.flush(this.nowMillis);
+			this.sent.clear();
+			observe(2, List.of(), List.of());
+			this.supervisor.flush(this.nowMillis);
+			Assert.assertEquals(this.sent, List.of());
+		}
+
 		/** Guards against a late answer that is taken for a newer incarnation. */
 		@Test
 		void areNotSeenInAnAnswerToAnEarlierCall() {
