--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -385,7 +385,7 @@
 		applyInventory(inventory, nowMillis);
 		this.inventoryKnown = true;
 		this.incarnationAnswers = true;
-		if (!wasUsable && this.orphanedRuns.isEmpty()) {
+		if (!wasUsable && isReported() && this.orphanedRuns.isEmpty()) {
 			this.log.accept("endpoint=" + this.endpoint.endpointId() + " state=answering");
 			this.sessions.markStateChanged();
 		}
--- a/daemon/src/main/java/org/baobabspar/daemon/Control.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/Control.java
@@ -42,6 +42,14 @@
 	 * @return milliseconds
 	 */
 	public long now() {
+		return monotonicMillis();
+	}
+
+	/**
+	 * Returns the time of the monotonic clock of this process.
+	 * @return milliseconds since an arbitrary origin
+	 */
+	public static long monotonicMillis() {
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
 	}
 
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -85,7 +86,7 @@
 	 * @param driver creates the client of the endpoint, given this agent
 	 * @param memory persists the state that a later incarnation of this agent needs
 	 */
-	public AgentNode(String name, String domain, LoopResources loops, Function<AgentNode, EndpointDriver> driver,
+	public AgentNode(String name, String domain, LongSupplier monotonicMillis, LoopResources loops, Function<AgentNode, EndpointDriver> driver,
 			Consumer<EndpointCheckpoint> memory) {
 		this.memory = memory;
 		this.links = new Links(this.control.scheduler(), loops, this);
@@ -103,7 +104,7 @@
 			return this.idle ? IDLE_TICK_MILLIS : LeaseTimes.TICK_MILLIS;
 		});
 		this.control.every(SELECTION_INTERVAL_MILLIS, () -> {
-			long now = this.control.now();
+			long now = this.monotonicMillis.getAsLong();
 			reviewSelection(now);
 			this.supervisor.checkpoint(now).ifPresent(this.memory);
 		});
@@ -116,7 +117,7 @@
 	public void discover(Collection<String> addresses) {
 		this.control.run(() -> {
 			addresses.forEach(this.selection::add);
-			this.selection.selectToDial(this.control.now()).forEach(this.links::connect);
+			this.selection.selectToDial(this.monotonicMillis.getAsLong()).forEach(this.links::connect);
 		});
 	}
 
@@ -145,7 +146,7 @@
 	}
 
 	private void apply(SupervisorUpdate event) {
-		long now = this.control.now();
+		long now = this.monotonicMillis.getAsLong();
 		event.apply(this.supervisor, now);
 		closeSilentLinks(now);
 		this.supervisor.flush(now);
@@ -174,19 +175,19 @@
 	}
 
 	public long now() {
-		return this.control.now();
+		return this.monotonicMillis.getAsLong();
 	}
 
 	@Override
 	public void linkUp(String link) {
-		long now = this.control.now();
+		long now = this.monotonicMillis.getAsLong();
 		this.lastReceivedMillis.put(link, now);
 		this.selection.linkUp(link, now);
 	}
 
 	@Override
 	public void receive(String link, Message message) {
-		long now = this.control.now();
+		long now = this.monotonicMillis.getAsLong();
 		this.lastReceivedMillis.put(link, now);
 		if (message instanceof RunStart start) {
 			this.supervisor.start(link, start, now);
