Links: refuse an address that cannot be dialled before it becomes a link

Cause: the address was taken apart in openLink, after the link had been entered as outgoing. A text without a port threw StringIndexOutOfBoundsException or NumberFormatException at the caller; a port out of 1..65535 or an empty host threw later, on the timer of the next attempt, as a dropped error. Before: LinksTests.invalidAddressDoesNotAffectOtherLinks failed for all 9 addresses (three NumberFormatException, two StringIndexOutOfBoundsException, four no exception at all). After: passes; each is CodedException SETTING_INVALID.

--- a/wire/src/main/java/org/baobabspar/wire/Links.java
+++ b/wire/src/main/java/org/baobabspar/wire/Links.java
@@ -139,10 +139,12 @@
 	/**
 	 * Opens a link and keeps it open, reconnecting whenever it fails.
 	 * @param address the address as {@code host:port}, which is also the name of the link
+	 * @throws CodedException with {@link ResultCode#SETTING_INVALID}
 	 */
 	public void connect(String address) {
+		LinkAddress target = LinkAddress.of(address);
 		if (this.outgoing.add(address)) {
-			openLink(address, MIN_RETRY_MILLIS);
+			openLink(address, target, MIN_RETRY_MILLIS);
 		}
 	}
 
@@ -155,14 +157,13 @@
 		close(address);
 	}
 
-	private void openLink(String address, long retryMillis) {
+	private void openLink(String address, LinkAddress target, long retryMillis) {
 		if (this.closed || !this.outgoing.contains(address)) {
 			return;
 		}
-		int colon = address.lastIndexOf(':');
 		TcpClient.newConnection()
-			.host(address.substring(0, colon))
-			.port(Integer.parseInt(address.substring(colon + 1)))
+			.host(target.host())
+			.port(target.port())
 			.runOn(this.loops)
 			.resolver(DefaultAddressResolverGroup.INSTANCE)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
@@ -173,7 +174,7 @@
 			.connect()
 			.flatMap(Connection::onDispose)
 			.onErrorResume((ex) -> connectFailed(address, ex))
-			.doFinally((s) -> retryLater(address, retryMillis))
+			.doFinally((s) -> retryLater(address, target, retryMillis))
 			.subscribe();
 	}
 
@@ -182,9 +183,9 @@
 		return Mono.<Void>fromRunnable(() -> this.handler.linkDown(address, refused)).subscribeOn(this.control);
 	}
 
-	private void retryLater(String address, long retryMillis) {
+	private void retryLater(String address, LinkAddress target, long retryMillis) {
 		long next = Math.min(MAX_RETRY_MILLIS, Math.round(RETRY_GROWTH * retryMillis));
-		Mono.delay(Duration.ofMillis(retryMillis)).subscribe((t) -> openLink(address, next));
+		Mono.delay(Duration.ofMillis(retryMillis)).subscribe((t) -> openLink(address, target, next));
 	}
 
 	/**
--- a/wire/src/test/java/org/baobabspar/wire/LinksTests.java
+++ b/wire/src/test/java/org/baobabspar/wire/LinksTests.java
@@ -10,6 +10,8 @@
 import org.baobabspar.message.Message;
 import org.baobabspar.message.PeerGoodbye;
 import org.baobabspar.message.PeerHeartbeat;
+import org.baobabspar.model.CodedException;
+import org.baobabspar.model.ResultCode;
 import org.testng.Assert;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -88,6 +90,21 @@
 		Assert.assertEquals(next(this.clientEvents), "down 127.0.0.1:" + this.port + " true");
 	}
 
+	@DataProvider
+	public Object[][] invalidAddresses() {
+		return new Object[][] { { "" }, { "nowhere" }, { ":7070" }, { "127.0.0.1:" }, { "127.0.0.1:x" },
+				{ "127.0.0.1:-1" }, { "127.0.0.1:0" }, { "127.0.0.1:65536" }, { "127.0.0.1:99999999999" } };
+	}
+
+	@Test(dataProvider = "invalidAddresses")
+	void invalidAddressDoesNotAffectOtherLinks(String invalid) throws InterruptedException {
+		CodedException ex = Assert.expectThrows(CodedException.class, () -> this.client.connect(invalid));
+		Assert.assertEquals(ex.code(), ResultCode.SETTING_INVALID);
+		String address = "127.0.0.1:" + this.port;
+		this.client.connect(address);
+		Assert.assertEquals(next(this.clientEvents), "up " + address);
+	}
+
 	@DataProvider
 	public Object[][] malformedFrames() {
 		return new Object[][] { { "unknown type", 2, new byte[] { FrameCodec.VERSION, 99 } },
