Frames: reject numbers that are not finite and records without their parts

Cause: a double was taken as it came, and records of messages accepted null for parts that a sender had left out. The null was found later, on the control thread; a route without a host in a routing notice would have been adopted and failed each look-up. Before: FrameCodecTests.oddFrameIsATypedError failed for NaN, infinity, a lease request without status and a route without texts (nothing was thrown). It passed for integers beyond long, other types, sizes beyond the frame, 100,000 levels, an unknown state. After: all 11 pass with FRAME_BODY. Conclusion: a frame that is odd closes its own link with a code, as before for unreadable ones.

--- a/core/src/main/java/org/baobabspar/fleet/EndpointStatus.java
+++ b/core/src/main/java/org/baobabspar/fleet/EndpointStatus.java
@@ -21,7 +21,11 @@
 		List<String> labels, double speed, long lastStartSequence) {
 
 	public EndpointStatus {
+		Objects.requireNonNull(endpointId);
+		Objects.requireNonNull(service);
 		Objects.requireNonNull(state);
+		Objects.requireNonNull(capacity);
+		Objects.requireNonNull(free);
 		labels = List.copyOf(labels);
 	}
 
--- a/core/src/main/java/org/baobabspar/fleet/Route.java
+++ b/core/src/main/java/org/baobabspar/fleet/Route.java
@@ -1,5 +1,7 @@
 package org.baobabspar.fleet;
 
+import java.util.Objects;
+
 /**
  * Maps the jobs submitted to a host and path prefix to a service. Immutable and
  * thread-safe.
@@ -19,6 +21,15 @@
 public record Route(String name, String host, String pathPrefix, String service, int priority, int maxAttempts,
 		double objectiveFactor, long objectiveBaseMillis, String refusal) {
 
+	/** Validates the components. */
+	public Route {
+		Objects.requireNonNull(name);
+		Objects.requireNonNull(host);
+		Objects.requireNonNull(pathPrefix);
+		Objects.requireNonNull(service);
+		Objects.requireNonNull(refusal);
+	}
+
 	/**
 	 * Returns the response time objective of a job.
 	 * @param workMillis expected run time of the job's critical path at nominal speed
--- a/core/src/main/java/org/baobabspar/message/EntryWelcome.java
+++ b/core/src/main/java/org/baobabspar/message/EntryWelcome.java
@@ -1,5 +1,7 @@
 package org.baobabspar.message;
 
+import java.util.Objects;
+
 /**
  * First message of an entry on a connection opened by an agent. Immutable.
  *
@@ -9,4 +11,10 @@
  * @param routingVersion version of the entry's routing table, 0 for none
  */
 public record EntryWelcome(String entry, long incarnation, long linkNumber, long routingVersion) implements Message {
+
+	/** Validates the components. */
+	public EntryWelcome {
+		Objects.requireNonNull(entry);
+	}
+
 }
--- a/core/src/main/java/org/baobabspar/message/LeaseRequest.java
+++ b/core/src/main/java/org/baobabspar/message/LeaseRequest.java
@@ -1,5 +1,7 @@
 package org.baobabspar.message;
 
+import java.util.Objects;
+
 import org.baobabspar.fleet.EndpointStatus;
 
 /**
@@ -10,4 +12,10 @@
  * @param status status of the agent's endpoint
  */
 public record LeaseRequest(long sentMillis, EndpointStatus status) implements Message {
+
+	/** Validates the components. */
+	public LeaseRequest {
+		Objects.requireNonNull(status);
+	}
+
 }
--- a/core/src/main/java/org/baobabspar/message/RoutingNotice.java
+++ b/core/src/main/java/org/baobabspar/message/RoutingNotice.java
@@ -1,5 +1,7 @@
 package org.baobabspar.message;
 
+import java.util.Objects;
+
 import org.baobabspar.fleet.RoutingTable;
 
 /**
@@ -9,4 +11,10 @@
  * @param table the routing table
  */
 public record RoutingNotice(RoutingTable table) implements Message {
+
+	/** Validates the components. */
+	public RoutingNotice {
+		Objects.requireNonNull(table);
+	}
+
 }
--- a/core/src/main/java/org/baobabspar/message/RunEnded.java
+++ b/core/src/main/java/org/baobabspar/message/RunEnded.java
@@ -1,5 +1,7 @@
 package org.baobabspar.message;
 
+import java.util.Objects;
+
 import org.baobabspar.fleet.RunEnd;
 import org.baobabspar.fleet.RunKey;
 
@@ -14,4 +16,11 @@
  * @param ranMillis run time as observed by the agent
  */
 public record RunEnded(long sequence, RunKey run, RunEnd end, long ranMillis) implements Message {
+
+	/** Validates the components. */
+	public RunEnded {
+		Objects.requireNonNull(run);
+		Objects.requireNonNull(end);
+	}
+
 }
--- a/core/src/main/java/org/baobabspar/message/RunStart.java
+++ b/core/src/main/java/org/baobabspar/message/RunStart.java
@@ -1,5 +1,7 @@
 package org.baobabspar.message;
 
+import java.util.Objects;
+
 import org.baobabspar.fleet.Resources;
 import org.baobabspar.fleet.RunKey;
 
@@ -16,4 +18,12 @@
  */
 public record RunStart(long sequence, RunKey run, String payload, Resources resources, long expectedMillis,
 		long agentClockMillis) implements Message {
+
+	/** Validates the components. */
+	public RunStart {
+		Objects.requireNonNull(run);
+		Objects.requireNonNull(payload);
+		Objects.requireNonNull(resources);
+	}
+
 }
--- a/core/src/main/java/org/baobabspar/message/RunStop.java
+++ b/core/src/main/java/org/baobabspar/message/RunStop.java
@@ -1,5 +1,7 @@
 package org.baobabspar.message;
 
+import java.util.Objects;
+
 import org.baobabspar.fleet.RunKey;
 
 /**
@@ -8,4 +10,10 @@
  * @param run the run
  */
 public record RunStop(RunKey run) implements Message {
+
+	/** Validates the components. */
+	public RunStop {
+		Objects.requireNonNull(run);
+	}
+
 }
--- a/core/src/main/java/org/baobabspar/message/SupervisorHello.java
+++ b/core/src/main/java/org/baobabspar/message/SupervisorHello.java
@@ -1,6 +1,7 @@
 package org.baobabspar.message;
 
 import java.util.List;
+import java.util.Objects;
 
 import org.baobabspar.fleet.EndpointStatus;
 import org.baobabspar.fleet.RunKey;
@@ -18,4 +19,13 @@
  */
 public record SupervisorHello(String agent, long incarnation, String domain, EndpointStatus status, List<RunKey> runs,
 		long linkNumber) implements Message {
+
+	/** Validates the components. */
+	public SupervisorHello {
+		Objects.requireNonNull(agent);
+		Objects.requireNonNull(domain);
+		Objects.requireNonNull(status);
+		Objects.requireNonNull(runs);
+	}
+
 }
--- a/wire/src/main/java/org/baobabspar/wire/FieldFormat.java
+++ b/wire/src/main/java/org/baobabspar/wire/FieldFormat.java
@@ -55,7 +55,11 @@
 
 		@Override
 		Object read(RecordFormat records, Type type, MessageUnpacker in) throws IOException {
-			return in.unpackDouble();
+			double value = in.unpackDouble();
+			if (!Double.isFinite(value)) {
+				throw new IOException("number is not finite");
+			}
+			return value;
 		}
 
 	},
--- a/wire/src/test/java/org/baobabspar/wire/FrameCodecTests.java
+++ b/wire/src/test/java/org/baobabspar/wire/FrameCodecTests.java
@@ -1,8 +1,14 @@
 package org.baobabspar.wire;
 
+import java.io.IOException;
+import java.math.BigInteger;
 import java.util.Arrays;
 import java.util.List;
 
+import org.baobabspar.fleet.EndpointState;
+import org.baobabspar.fleet.EndpointStatus;
+import org.baobabspar.fleet.Resources;
+import org.baobabspar.fleet.RoutingTable;
 import org.baobabspar.message.AgentHeartbeat;
 import org.baobabspar.message.AgentHello;
 import org.baobabspar.message.AgentInfo;
@@ -14,9 +20,13 @@
 import org.baobabspar.message.Fence;
 import org.baobabspar.message.FenceReply;
 import org.baobabspar.message.JobEnded;
+import org.baobabspar.message.LeaseGrant;
+import org.baobabspar.message.LeaseRequest;
 import org.baobabspar.message.Message;
 import org.baobabspar.message.MessageType;
+import org.baobabspar.message.PeerGoodbye;
 import org.baobabspar.message.PeerWelcome;
+import org.baobabspar.message.RoutingNotice;
 import org.baobabspar.model.Claim;
 import org.baobabspar.model.CodedException;
 import org.baobabspar.model.JobAnswer;
@@ -26,6 +36,8 @@
 import org.baobabspar.usage.UsageCount;
 import org.baobabspar.usage.UsageKey;
 import org.baobabspar.usage.UsageRecord;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -108,4 +120,82 @@
 		Assert.assertEquals(numbers, MessageType.values().length);
 	}
 
+	private static byte[] frame(Message type, Packing packing) throws IOException {
+		try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+			out.writePayload(new byte[] { FrameCodec.VERSION, (byte) MessageType.of(type).number() });
+			packing.write(out);
+			return out.toByteArray();
+		}
+	}
+
+	@DataProvider
+	public Object[][] oddFrames() throws IOException {
+		EndpointStatus status = new EndpointStatus("i", "s", EndpointState.READY, Resources.NONE, Resources.NONE,
+				List.of(), 1, 0);
+		LeaseRequest request = new LeaseRequest(1, status);
+		LeaseGrant grant = new LeaseGrant(1, 1);
+		RoutingNotice notice = new RoutingNotice(new RoutingTable(1, List.of(), 1));
+		return new Object[][] { { "NaN", this.codec.encode(new LeaseRequest(1, withSpeed(status, Double.NaN))) },
+				{ "infinite", this.codec.encode(new LeaseRequest(1, withSpeed(status, Double.POSITIVE_INFINITY))) },
+				{ "no status", frame(request, (out) -> out.packArrayHeader(1).packLong(1)) },
+				{ "route without text",
+						frame(notice,
+								(out) -> out.packArrayHeader(1)
+									.packArrayHeader(3)
+									.packLong(9)
+									.packArrayHeader(1)
+									.packArrayHeader(0)
+									.packInt(5)) },
+				{ "route is nil",
+						frame(notice,
+								(out) -> out.packArrayHeader(1)
+									.packArrayHeader(3)
+									.packLong(9)
+									.packArrayHeader(1)
+									.packNil()
+									.packInt(5)) },
+				{ "number beyond long", frame(grant,
+						(out) -> out.packArrayHeader(2).packBigInteger(BigInteger.ONE.shiftLeft(63)).packLong(1)) },
+				{ "text for number", frame(grant, (out) -> out.packArrayHeader(2).packString("1").packLong(1)) },
+				{ "huge array",
+						frame(notice,
+								(out) -> out.packArrayHeader(1)
+									.packArrayHeader(3)
+									.packLong(9)
+									.packArrayHeader(Integer.MAX_VALUE)) },
+				{ "huge text",
+						frame(new PeerGoodbye("e"),
+								(out) -> out.packArrayHeader(1).packRawStringHeader(Integer.MAX_VALUE)) },
+				{ "deep nesting", frame(grant, (out) -> {
+					for (int i = 0; i < 100_000; i++) {
+						out.packArrayHeader(1);
+					}
+				}) },
+				{ "unknown state",
+						frame(request,
+								(out) -> out.packArrayHeader(2)
+									.packLong(1)
+									.packArrayHeader(3)
+									.packString("i")
+									.packString("s")
+									.packString("NEVER")) } };
+	}
+
+	private static EndpointStatus withSpeed(EndpointStatus status, double speed) {
+		return new EndpointStatus(status.endpointId(), status.service(), status.state(), status.capacity(),
+				status.free(), status.labels(), speed, status.lastStartSequence());
+	}
+
+	@Test(dataProvider = "oddFrames")
+	void oddFrameIsATypedError(String what, byte[] frame) {
+		CodedException ex = Assert.expectThrows(CodedException.class, () -> this.codec.decode(frame));
+		Assert.assertEquals(ex.code(), ResultCode.FRAME_BODY, what);
+	}
+
+	private interface Packing {
+
+		void write(MessageBufferPacker out) throws IOException;
+
+	}
+
 }
