--- a/daemon/src/main/java/org/baobabspar/node/NodeMetrics.java
+++ b/daemon/src/main/java/org/baobabspar/node/NodeMetrics.java
@@ -33,11 +33,25 @@
 		.labelNames("route", "outcome")
 		.register(this.registry);
 
+	private final Counter rejectedInputs = Counter.builder()
+		.name("baobabspar_rejected_inputs_total")
+		.help("Inputs of other writers that were rejected and skipped, by source")
+		.labelNames("source")
+		.register(this.registry);
+
 	void recordJob(String route, JobReply reply, long millis) {
 		this.jobs.labelValues(route, reply.outcome().name()).inc();
 		this.seconds.labelValues(route, reply.outcome().name()).observe(millis / MILLIS_PER_SECOND);
 	}
 
+	/**
+	 * Counts an input that was rejected and skipped.
+	 * @param source the kind of input
+	 */
+	public void recordRejectedInput(String source) {
+		this.rejectedInputs.labelValues(source).inc();
+	}
+
 	/**
 	 * Returns all metrics in the Prometheus text format.
 	 * @return the text, as bytes
