--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -1,5 +1,6 @@
 package org.baobabspar.node;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -22,6 +23,7 @@
 import org.baobabspar.supervise.EndpointDriver;
 import org.baobabspar.supervise.EntrySelection;
 import org.baobabspar.supervise.RunSupervisor;
+import org.baobabspar.wire.LinkAddress;
 import org.baobabspar.wire.LinkHandler;
 import org.baobabspar.wire.Links;
 import reactor.netty.resources.LoopResources;
@@ -71,6 +73,8 @@
 
 	private final EntrySelection selection;
 
+	private final RejectedInputs rejected;
+
 	/** Start of retirement of each link that is no longer needed. */
 	private final Map<String, Long> retiringSinceMillis = new HashMap<>();
 
@@ -89,10 +93,12 @@
 	 * @param loops the event loops for network traffic
 	 * @param driver creates the client of the endpoint, given this agent
 	 * @param memory persists the state that a later incarnation of this agent needs
+	 * @param rejected takes the addresses that cannot be dialled
 	 */
 	public AgentNode(String name, String domain, SuspendAwareClock clock, LoopResources loops,
-			Function<AgentNode, EndpointDriver> driver, Consumer<EndpointCheckpoint> memory) {
+			Function<AgentNode, EndpointDriver> driver, Consumer<EndpointCheckpoint> memory, RejectedInputs rejected) {
 		this.memory = memory;
+		this.rejected = rejected;
 		this.clock = clock;
 		this.links = new Links(this.control.scheduler(), loops, this);
 		this.selection = new EntrySelection(name);
@@ -116,16 +122,22 @@
 	}
 
 	/**
-	 * Adds entries that may exist and connects to those that are selected.
+	 * Adds entries that may exist and connects to those that are selected. An address
+	 * that cannot be dialled is skipped.
 	 * @param addresses the addresses of the entries
 	 */
 	public void discover(Collection<String> addresses) {
 		this.control.run(() -> {
-			addresses.forEach(this.selection::add);
+			addresses.forEach(this::addEntry);
 			this.selection.selectToDial(this.clock.now()).forEach(this.links::connect);
 		});
 	}
 
+	private void addEntry(String address) {
+		this.rejected.isolate("entry_address", "", address.getBytes(StandardCharsets.UTF_8),
+				() -> this.selection.add(LinkAddress.of(address).toString()));
+	}
+
 	private void reviewSelection(long now) {
 		this.selection.selectToDial(now).forEach(this.links::connect);
 		List<String> surplus = this.selection.surplusLinks(now);
--- /dev/null
+++ b/daemon/src/test/java/org/baobabspar/node/AgentNodeTests.java
@@ -0,0 +1,101 @@
+package org.baobabspar.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.baobabspar.fleet.RunKey;
+import org.baobabspar.fleet.SuspendAwareClock;
+import org.baobabspar.message.Message;
+import org.baobabspar.supervise.EndpointDriver;
+import org.baobabspar.supervise.EndpointReport;
+import org.baobabspar.wire.LinkHandler;
+import org.baobabspar.wire.Links;
+import org.testng.Assert;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Tests of {@link AgentNode}.
+ */
+public class AgentNodeTests {
+
+	private static final long TIMEOUT_SECONDS = 60;
+
+	@DataProvider
+	Object[][] oddAddresses() {
+		return new Object[][] { { "" }, { "nowhere" }, { ":1" }, { "127.0.0.1:" }, { "127.0.0.1:0" },
+				{ "127.0.0.1:65536" }, { "127.0.0.1:99999999999" }, { "127.0.0.1:-5" }, { "[[[[" }, { "\u0000:\u0000" },
+				{ "x".repeat(100_000) + ":7" } };
+	}
+
+	@Test(dataProvider = "oddAddresses")
+	void goodEntryIsLinkedBesideAnOddOne(String odd) throws InterruptedException {
+		LoopResources loops = LoopResources.create("test", 1, true);
+		Scheduler control = Schedulers.newSingle("entry");
+		CountDownLatch linked = new CountDownLatch(2);
+		try (Links first = new Links(control, loops, new UpCounter(linked));
+				Links second = new Links(control, loops, new UpCounter(linked))) {
+			List<String> addresses = new ArrayList<>();
+			addresses.add("127.0.0.1:" + first.listen("127.0.0.1", 0));
+			addresses.add("127.0.0.1:" + second.listen("127.0.0.1", 0));
+			addresses.add(1, odd);
+			AgentNode agent = new AgentNode("agent", "domain", SuspendAwareClock.system(), loops,
+					(a) -> new IdleDriver(), (checkpoint) -> {
+					}, new RejectedInputs((source) -> {
+					}));
+			agent.discover(addresses);
+			Assert.assertTrue(linked.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+		}
+		finally {
+			control.dispose();
+			loops.dispose();
+		}
+	}
+
+	private record UpCounter(CountDownLatch linked) implements LinkHandler {
+
+		@Override
+		public void linkUp(String link) {
+			this.linked.countDown();
+		}
+
+		@Override
+		public void receive(String link, Message message) {
+		}
+
+		@Override
+		public void linkDown(String link, boolean refused) {
+		}
+
+	}
+
+	private static final class IdleDriver implements EndpointDriver {
+
+		@Override
+		public void attach(EndpointReport report) {
+		}
+
+		@Override
+		public void start(RunKey run, String payload, long leaseMillis, long fence) {
+		}
+
+		@Override
+		public void stop(String task, long number, long fence) {
+		}
+
+		@Override
+		public void poll(long leaseMillis, long confirmed, long waitMillis, long fence) {
+		}
+
+		@Override
+		public void probe(long confirmed, long fence) {
+		}
+
+	}
+
+}
