--- a/daemon/src/main/java/org/baobabspar/daemon/Http.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/Http.java
@@ -86,16 +86,25 @@
 	 * @return its bytes
 	 */
 	public static Mono<byte[]> body(HttpServerRequest request) {
+		return body(request, MAX_BODY_BYTES);
+	}
+
+	/**
+	 * Reads the body of a request.
+	 * @param request the request
+	 * @param maxBytes largest body
+	 * @return its bytes, or an error with {@link ResultCode#PAYLOAD_TOO_LARGE}
+	 */
+	public static Mono<byte[]> body(HttpServerRequest request, int maxBytes) {
 		return request.receive()
 			.asByteArray()
-			.collect(ByteArrayOutputStream::new, Http::append)
+			.collect(ByteArrayOutputStream::new, (buffer, chunk) -> append(buffer, chunk, maxBytes))
 			.map(ByteArrayOutputStream::toByteArray);
 	}
 
-	private static void append(ByteArrayOutputStream buffer, byte[] chunk) {
-		if (buffer.size() + chunk.length > MAX_BODY_BYTES) {
-			throw new CodedException(ResultCode.PAYLOAD_TOO_LARGE,
-					"the request body exceeds " + MAX_BODY_BYTES + " bytes");
+	private static void append(ByteArrayOutputStream buffer, byte[] chunk, int maxBytes) {
+		if (buffer.size() + chunk.length > maxBytes) {
+			throw new CodedException(ResultCode.PAYLOAD_TOO_LARGE, "the request body exceeds " + maxBytes + " bytes");
 		}
 		buffer.writeBytes(chunk);
 	}
