--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -1,5 +1,6 @@
 package org.baobabspar.node;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -23,6 +24,7 @@
 import org.baobabspar.supervise.EntrySelection;
 import org.baobabspar.supervise.LeaseTimes;
 import org.baobabspar.supervise.RunSupervisor;
+import org.baobabspar.wire.LinkAddress;
 import org.baobabspar.wire.LinkHandler;
 import org.baobabspar.wire.Links;
 import reactor.netty.resources.LoopResources;
@@ -56,6 +58,8 @@
 	/** Time for an entry to learn that its link is being retired. */
 	private static final long RETIRE_MILLIS = 300;
 
+	private final LongSupplier monotonicMillis;
+
 	private final Control control = new Control("control");
 
 	private final Links links;
@@ -68,6 +72,8 @@
 
 	private final EntrySelection selection;
 
+	private final RejectedInputs rejected;
+
 	/** Start of retirement of each link that is no longer needed. */
 	private final Map<String, Long> retiringSinceMillis = new HashMap<>();
 
@@ -82,13 +88,17 @@
 	 * Creates an agent.
 	 * @param name the name of the agent
 	 * @param domain the failure domain
+	 * @param monotonicMillis the monotonic clock
 	 * @param loops the event loops for network traffic
 	 * @param driver creates the client of the endpoint, given this agent
 	 * @param memory persists the state that a later incarnation of this agent needs
+	 * @param rejected takes the addresses that cannot be dialled
 	 */
-	public AgentNode(String name, String domain, LongSupplier monotonicMillis, LoopResources loops, Function<AgentNode, EndpointDriver> driver,
-			Consumer<EndpointCheckpoint> memory) {
+	public AgentNode(String name, String domain, LongSupplier monotonicMillis, LoopResources loops,
+			Function<AgentNode, EndpointDriver> driver, Consumer<EndpointCheckpoint> memory, RejectedInputs rejected) {
 		this.memory = memory;
+		this.rejected = rejected;
+		this.monotonicMillis = monotonicMillis;
 		this.links = new Links(this.control.scheduler(), loops, this);
 		this.selection = new EntrySelection(name);
 		long incarnation = System.currentTimeMillis();
@@ -111,16 +121,22 @@
 	}
 
 	/**
-	 * Adds entries that may exist and connects to those that are selected.
+	 * Adds entries that may exist and connects to those that are selected. An address
+	 * that cannot be dialled is skipped.
 	 * @param addresses the addresses of the entries
 	 */
 	public void discover(Collection<String> addresses) {
 		this.control.run(() -> {
-			addresses.forEach(this.selection::add);
+			addresses.forEach(this::addEntry);
 			this.selection.selectToDial(this.monotonicMillis.getAsLong()).forEach(this.links::connect);
 		});
 	}
 
+	private void addEntry(String address) {
+		this.rejected.isolate("entry_address", "", address.getBytes(StandardCharsets.UTF_8),
+				() -> this.selection.add(LinkAddress.of(address).toString()));
+	}
+
 	private void reviewSelection(long now) {
 		this.selection.selectToDial(now).forEach(this.links::connect);
 		List<String> surplus = this.selection.surplusLinks(now);
