Dispatch: test the order of stop, answer and grant

The stop is sent before the answer for a declined job, a cancelled one and one past its deadline; a stop that found no link is sent on the next one before any grant; and a refused run is started again with its number after a stop of that number, in this order on the link.

--- a/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
@@ -1,5 +1,6 @@
 package org.baobabspar.dispatch;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.baobabspar.fleet.EndpointStatus;
@@ -9,9 +10,11 @@
 import org.baobabspar.message.LeaseRequest;
 import org.baobabspar.message.Message;
 import org.baobabspar.message.RunEnded;
+import org.baobabspar.message.RunStart;
 import org.baobabspar.message.RunStop;
 import org.baobabspar.supervise.LeaseTimes;
 import org.testng.Assert;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -250,4 +253,60 @@
 
 	}
 
+	/**
+	 * Jobs that are answered while runs of theirs are outstanding.
+	 */
+	public static class AnsweredJobs extends GivenUpRunsTests {
+
+		@DataProvider
+		Object[][] waysToGiveUp() {
+			Runnable declineAll = () -> this.dispatcher.declineAll("test", this.nowMillis);
+			Runnable cancel = () -> this.dispatcher.cancel("j", this.nowMillis);
+			Runnable passDeadline = () -> {
+				this.nowMillis += 10_000;
+				relink("a", new RunKey("j", "j/0/0", 1));
+				this.dispatcher.tick(this.nowMillis);
+			};
+			return new Object[][] { { "decline", declineAll }, { "cancel", cancel }, { "deadline", passDeadline } };
+		}
+
+		/** Guards against an answer after which nobody orders the runs to stop. */
+		@Test(dataProvider = "waysToGiveUp")
+		void ordersStopBeforeAnswer(String name, Runnable giveUp) {
+			linkAgent("a", 8, 1);
+			List<Long> stopsAtAnswer = new ArrayList<>();
+			this.dispatcher.submit(createJob("j", 1, 100), ROUTE, 10_000, (reply) -> stopsAtAnswer.add(stopCount("a")),
+					this.nowMillis);
+			this.dispatcher.place(this.nowMillis);
+			giveUp.run();
+			Assert.assertEquals(stopsAtAnswer, List.of(1L), name);
+		}
+
+		/** Guards against a stop that is lost because the agent is between two links. */
+		@Test
+		void ordersStopOnNextLinkBeforeGrant() {
+			RunKey run = startRun("a");
+			this.dispatcher.unregisterLink("a");
+			this.dispatcher.declineAll("test", this.nowMillis);
+			this.sentMessages.clear();
+			relink("a", run);
+			Assert.assertEquals(sentTo("a"), List.of(new RunStop(run), new LeaseGrant(this.nowMillis, 0)));
+		}
+
+		/**
+		 * Guards against a refused run whose number meets the stop sent for it before.
+		 */
+		@Test
+		void startsRefusedRunAgainAfterStopOfSameNumber() {
+			RunKey run = startRun("a");
+			this.dispatcher.declineAll("test", this.nowMillis);
+			submit(createJob("j", 1, 100));
+			endRun("a", run, RunEnd.REFUSED);
+			Assert.assertEquals(
+					sentTo("a").stream().filter((m) -> !(m instanceof LeaseGrant)).map(Message::getClass).toList(),
+					List.of(RunStart.class, RunStop.class, RunStart.class));
+		}
+
+	}
+
 }
