Simulation: separate late calls, late stops and clocks of reborn endpoints

A first search showed overlaps under several faults at once, which hid the share of each: an endpoint that is born again with a new clock takes a late start that its continuing clock refuses, and stops that stay unconfirmed keep a run alive at shares that other calls don't reach. Each has its own fault mix now. Steps of an entry's time of day while an agent is silent are new.

No production code is changed.

--- a/core/src/test/java/org/baobabspar/dispatch/FaultMix.java
+++ b/core/src/test/java/org/baobabspar/dispatch/FaultMix.java
@@ -25,6 +25,10 @@
 	CLOCK_STEPS_WITH_LOSSES(FleetFault.CLOCK_STEP_THEN_LOSS, FleetFault.CLOCK_STEP_THEN_LOSS,
 			FleetFault.CLOCK_STEP_SERIES, FleetFault.AGENT_KILL, FleetFault.ENTRY_CUT),
 
+	/** Steps of the time of day of entries, also while an agent is silent. */
+	ENTRY_CLOCK_STEPS(FleetFault.ENTRY_CLOCK_STEPS_DURING_SILENCE, FleetFault.ENTRY_CLOCK_STEPS_DURING_SILENCE,
+			FleetFault.ENTRY_CLOCK_STEPS_DURING_SILENCE, FleetFault.AGENT_KILL, FleetFault.ENTRY_CUT),
+
 	/** Suspended processes, with losses. */
 	SUSPENSIONS(FleetFault.SUSPENSION, FleetFault.SUSPENSION_WITH_LOSS, FleetFault.SUSPENSION_WITH_LOSS,
 			FleetFault.SHORT_SUSPENSIONS, FleetFault.AGENT_KILL, FleetFault.ENTRY_KILL, FleetFault.LINK_CUT,
@@ -32,11 +36,19 @@
 
 	/** Calls that are carried out late or whose responses are lost, with losses. */
 	LATE_CALLS(FleetFault.LATE_AND_LOST_CALLS, FleetFault.LATE_CALLS_THEN_LOSS, FleetFault.LATE_CALLS_THEN_LOSS,
-			FleetFault.LATE_CALLS_THEN_LOSS, FleetFault.LATE_STOPS, FleetFault.ENTRY_KILL, FleetFault.ENTRY_CUT,
-			FleetFault.LINK_CUT, FleetFault.AGENT_KILL, FleetFault.AGENT_CUT, FleetFault.CALLER_RESET),
+			FleetFault.LATE_CALLS_THEN_LOSS, FleetFault.ENTRY_KILL, FleetFault.ENTRY_CUT, FleetFault.AGENT_KILL,
+			FleetFault.AGENT_CUT, FleetFault.CALLER_RESET),
+
+	/** Stops that are carried out late, most of them in a row, with losses. */
+	LATE_STOPS(FleetFault.LATE_STOPS, FleetFault.LATE_STOPS_THEN_LOSS, FleetFault.LATE_STOPS_THEN_LOSS,
+			FleetFault.ENTRY_KILL, FleetFault.AGENT_KILL, FleetFault.CALLER_RESET),
 
 	/** Endpoints that are killed and born again while calls to them are late. */
 	ENDPOINT_REBIRTHS(FleetFault.ENDPOINT_REBIRTH, FleetFault.ENDPOINT_REBIRTH, FleetFault.ENDPOINT_REPLACEMENT,
+			FleetFault.LATE_AND_LOST_CALLS, FleetFault.AGENT_KILL),
+
+	/** Endpoints that are born again with new clocks while calls to them are late. */
+	ENDPOINT_CLOCK_RESETS(FleetFault.ENDPOINT_REBIRTH_WITH_NEW_CLOCK, FleetFault.ENDPOINT_REBIRTH_WITH_NEW_CLOCK,
 			FleetFault.ENDPOINT_RESTART, FleetFault.LATE_AND_LOST_CALLS, FleetFault.AGENT_KILL),
 
 	/** Links and paths of callers that are cut in one direction. */
@@ -51,8 +63,9 @@
 	/** All faults but those of the time of day and suspensions. */
 	ALL_BUT_CLOCKS(Stream.of(FleetFault.values())
 		.filter((fault) -> fault != FleetFault.CLOCK_STEP && fault != FleetFault.CLOCK_STEP_SERIES
-				&& fault != FleetFault.CLOCK_STEP_THEN_LOSS && fault != FleetFault.SUSPENSION
-				&& fault != FleetFault.SUSPENSION_WITH_LOSS && fault != FleetFault.SHORT_SUSPENSIONS)
+				&& fault != FleetFault.CLOCK_STEP_THEN_LOSS && fault != FleetFault.ENTRY_CLOCK_STEPS_DURING_SILENCE
+				&& fault != FleetFault.SUSPENSION && fault != FleetFault.SUSPENSION_WITH_LOSS
+				&& fault != FleetFault.SHORT_SUSPENSIONS)
 		.toArray(FleetFault[]::new)),
 
 	/** All faults. */
--- a/core/src/test/java/org/baobabspar/dispatch/FaultTarget.java
+++ b/core/src/test/java/org/baobabspar/dispatch/FaultTarget.java
@@ -86,15 +86,16 @@
 	/**
 	 * Kills the endpoint and starts another incarnation, which reports a little later.
 	 * @param underNewId whether the id changes
+	 * @param withNewClock whether the clock begins at 0 again
 	 */
-	void restartEndpoint(boolean underNewId) {
+	void restartEndpoint(boolean underNewId, boolean withNewClock) {
 		SimulatedEndpoint endpoint = this.agent.endpoint;
 		if (!endpoint.up()) {
 			return;
 		}
 		endpoint.kill();
 		this.simulation.scheduleAfter(between(0, 600), () -> {
-			endpoint.restart(underNewId, this.simulation.detailRandom.nextBoolean());
+			endpoint.restart(underNewId, withNewClock);
 			this.simulation.scheduleAfter(between(5, 600), this.agent::report);
 		});
 	}
--- a/core/src/test/java/org/baobabspar/dispatch/FleetFault.java
+++ b/core/src/test/java/org/baobabspar/dispatch/FleetFault.java
@@ -123,6 +123,28 @@
 		}
 	},
 
+	/**
+	 * Sets the time of day of an entry several times while an agent is silent, each time
+	 * by less than what counts as a stall.
+	 */
+	ENTRY_CLOCK_STEPS_DURING_SILENCE {
+		@Override
+		void inject(FaultTarget target) {
+			if (target.simulation.detailRandom.nextBoolean()) {
+				target.agent.process.freeze(target.millis);
+			}
+			else {
+				AGENT_CUT.inject(target);
+			}
+			long delayMillis = 0;
+			for (long count = target.between(1, 4); count > 0; count--) {
+				delayMillis += target.between(30, 400);
+				long stepMillis = target.between(100, 390);
+				target.simulation.scheduleAfter(delayMillis, () -> target.entry.process.stepTimeOfDay(stepMillis));
+			}
+		}
+	},
+
 	/** Suspends one process, whose monotonic clock doesn't count this time. */
 	SUSPENSION {
 		@Override
@@ -149,12 +171,25 @@
 
 	/**
 	 * An endpoint is killed and born again under its old id while calls to it are late.
+	 * Its clock goes on.
 	 */
 	ENDPOINT_REBIRTH {
 		@Override
 		void inject(FaultTarget target) {
 			target.makeCallsLate(target.share(), 0, 0);
-			target.simulation.scheduleAfter(target.between(50, 1_500), () -> target.restartEndpoint(false));
+			target.simulation.scheduleAfter(target.between(50, 1_500), () -> target.restartEndpoint(false, false));
+		}
+	},
+
+	/**
+	 * An endpoint is killed and born again under its old id while calls to it are late.
+	 * Its clock begins at 0 again, so that deadlines of late calls seem far ahead.
+	 */
+	ENDPOINT_REBIRTH_WITH_NEW_CLOCK {
+		@Override
+		void inject(FaultTarget target) {
+			target.makeCallsLate(target.share(), 0, 0);
+			target.simulation.scheduleAfter(target.between(50, 1_500), () -> target.restartEndpoint(false, true));
 		}
 	},
 
@@ -163,7 +198,7 @@
 		@Override
 		void inject(FaultTarget target) {
 			target.makeCallsLate(target.share(), 0, 0);
-			target.simulation.scheduleAfter(target.between(50, 1_500), () -> target.restartEndpoint(true));
+			target.simulation.scheduleAfter(target.between(50, 1_500), () -> target.restartEndpoint(true, true));
 		}
 	},
 
@@ -225,7 +260,17 @@
 	LATE_CALLS_THEN_LOSS {
 		@Override
 		void inject(FaultTarget target) {
-			target.makeCallsLate(target.share(), 2 * target.share(), target.share() / 2);
+			target.makeCallsLate(target.share(), 0, target.share() / 2);
+			FleetFault loss = LOSSES_OF_OWNERS[(int) target.between(0, LOSSES_OF_OWNERS.length - 1)];
+			target.simulation.scheduleAfter(target.between(0, 1_500), () -> loss.inject(target));
+		}
+	},
+
+	/** Most stops are carried out late, and runs lose their entry or their caller. */
+	LATE_STOPS_THEN_LOSS {
+		@Override
+		void inject(FaultTarget target) {
+			target.makeCallsLate(0, 2 * target.share(), 0);
 			FleetFault loss = LOSSES_OF_OWNERS[(int) target.between(0, LOSSES_OF_OWNERS.length - 1)];
 			target.simulation.scheduleAfter(target.between(0, 1_500), () -> loss.inject(target));
 		}
--- a/core/src/test/java/org/baobabspar/dispatch/SimulationSearch.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulationSearch.java
@@ -33,22 +33,26 @@
 	/**
 	 * Searches the seeds of a range.
 	 * @param arguments the fault mix, the first seed, the number of seeds and optionally
-	 * the file that takes the whole trace of the last seed
-	 * @throws IOException if the file can't be written
+	 * the directory that takes the trace excerpts of all seeds with violations
+	 * @throws IOException if a file can't be written
 	 */
 	public static void main(String[] arguments) throws IOException {
 		FaultMix mix = FaultMix.valueOf(arguments[0]);
 		long firstSeed = Long.parseLong(arguments[1]);
 		long seedCount = Long.parseLong(arguments[2]);
-		if (arguments.length > 3) {
-			SimulatedFleet fleet = simulate(firstSeed + seedCount - 1, mix);
-			Files.write(Path.of(arguments[3]), fleet.trace());
-		}
 		List<Result> results = LongStream.range(firstSeed, firstSeed + seedCount)
 			.parallel()
 			.mapToObj((seed) -> Result.of(seed, simulate(seed, mix)))
 			.toList();
 		print(System.out, mix, results);
+		if (arguments.length > 3) {
+			for (Result result : results) {
+				if (!result.excerpt.isEmpty()) {
+					Files.writeString(Path.of(arguments[3], mix + "-" + result.seed + ".txt"),
+							result.overlaps + "\n" + result.otherViolations + "\n" + result.excerpt + "\n");
+				}
+			}
+		}
 	}
 
 	private static SimulatedFleet simulate(long seed, FaultMix mix) {
