--- a/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
@@ -1,28 +1,18 @@
 package org.baobabspar.dispatch;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 
-import org.baobabspar.fleet.EndpointState;
 import org.baobabspar.fleet.EndpointStatus;
 import org.baobabspar.fleet.JobSubmission;
-import org.baobabspar.fleet.Resources;
 import org.baobabspar.fleet.Route;
 import org.baobabspar.fleet.RunEnd;
 import org.baobabspar.fleet.RunKey;
 import org.baobabspar.fleet.Step;
 import org.baobabspar.message.LeaseRequest;
-import org.baobabspar.message.Message;
-import org.baobabspar.message.RunEnded;
-import org.baobabspar.message.RunStart;
-import org.baobabspar.message.RunStop;
 import org.baobabspar.message.SupervisorHello;
 import org.baobabspar.supervise.LeaseTimes;
 import org.testng.Assert;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /**
@@ -30,106 +20,10 @@
  */
 public class DispatcherTests {
 
-	private static final Resources CORE = new Resources(1_000, 64, 0);
-
-	static final Route ROUTE = new Route("route", "host", "/p/", "service", 0, 2, 1.6, 60, "");
-
-	long nowMillis;
-
-	Map<String, List<Message>> sentMessages;
-
-	Map<String, Long> endSequences;
-
-	List<JobReply> replies;
-
-	List<String> logLines;
-
-	Dispatcher dispatcher;
-
-	@BeforeMethod
-	void createDispatcher() {
-		this.nowMillis = 50_000;
-		this.sentMessages = new TreeMap<>();
-		this.endSequences = new TreeMap<>();
-		this.replies = new ArrayList<>();
-		this.logLines = new ArrayList<>();
-		this.dispatcher = new Dispatcher("domain-1", new DispatchOutbox() {
-
-			@Override
-			public void send(String link, Message message) {
-				DispatcherTests.this.sentMessages.computeIfAbsent(link, (l) -> new ArrayList<>()).add(message);
-			}
-
-			@Override
-			public void close(String link) {
-			}
-
-			@Override
-			public void log(String line) {
-				DispatcherTests.this.logLines.add(line);
-			}
-
-			@Override
-			public void recordJobEnd(String route, JobReply reply, long ageMillis) {
-			}
-
-		});
-	}
-
-	static EndpointStatus status(String name, int freeCores, double speed, long lastStartSequence) {
-		return new EndpointStatus("endpoint-" + name, "service", EndpointState.READY, CORE.times(8),
-				CORE.times(freeCores), List.of(), speed, lastStartSequence);
-	}
-
-	void linkAgent(String name, int freeCores, double speed) {
-		sendHello(name, status(name, freeCores, speed, 0), List.of());
-		this.dispatcher.handleLeaseRequest(name, new LeaseRequest(this.nowMillis, status(name, freeCores, speed, 0)),
-				this.nowMillis);
-	}
-
-	void sendHello(String name, EndpointStatus status, List<RunKey> runs) {
-		long number = this.dispatcher.registerLink(name);
-		this.dispatcher.handleHello(name, new SupervisorHello(name, 1, "domain-1", status, runs, number),
-				this.nowMillis);
-	}
-
-	static JobSubmission createJob(String id, int tasks, long estimateMillis) {
-		return new JobSubmission(id, "payload", List.of(new Step(tasks, CORE, estimateMillis, List.of(), "", "", 0)));
-	}
-
-	Consumer<JobReply> submit(JobSubmission order) {
-		Consumer<JobReply> caller = this.replies::add;
-		this.dispatcher.submit(order, ROUTE, 10_000, caller, this.nowMillis);
-		this.dispatcher.place(this.nowMillis);
-		return caller;
-	}
-
-	List<RunKey> startedRuns(String agent) {
-		return this.sentMessages.getOrDefault(agent, List.of())
-			.stream()
-			.filter(RunStart.class::isInstance)
-			.map((m) -> ((RunStart) m).run())
-			.toList();
-	}
-
-	long stopCount(String agent) {
-		return this.sentMessages.getOrDefault(agent, List.of()).stream().filter(RunStop.class::isInstance).count();
-	}
-
-	void endRun(String agent, RunKey run, RunEnd end) {
-		long sequence = this.endSequences.merge(agent, 1L, Long::sum);
-		this.dispatcher.handleRunEnded(agent, new RunEnded(sequence, run, end, 100), this.nowMillis);
-		this.dispatcher.place(this.nowMillis);
-	}
-
-	List<JobOutcome> outcomes() {
-		return this.replies.stream().map(JobReply::outcome).toList();
-	}
-
 	/**
 	 * Suspensions of the entry's VM, which its monotonic clock does not count.
 	 */
-	public static class Suspensions extends DispatcherTests {
+	public static class Suspensions extends DispatcherFixture {
 
 		private void requestLease(String name, long agentMillis) {
 			this.dispatcher.handleLeaseRequest(name, new LeaseRequest(agentMillis, status(name, 8, 1, 1)),
@@ -162,7 +56,7 @@
 	/**
 	 * Answers to callers.
 	 */
-	public static class Answers extends DispatcherTests {
+	public static class Answers extends DispatcherFixture {
 
 		@Test
 		void completesWhenLastTaskIsDone() {
@@ -241,7 +135,7 @@
 	/**
 	 * Runs that fail, are lost or are refused, and agents that open a new link.
 	 */
-	public static class Retries extends DispatcherTests {
+	public static class Retries extends DispatcherFixture {
 
 		@Test
 		void repeatsLostRunOnlyAfterBothLeasesExpire() {
@@ -329,7 +223,7 @@
 	 * it has room for; the others follow a moment later. Without a warm-up time, the
 	 * dispatcher would refuse jobs for which there is room shortly after.
 	 */
-	public static class FleetRestarts extends DispatcherTests {
+	public static class FleetRestarts extends DispatcherFixture {
 
 		private void fillFirstAgent() {
 			linkAgent("a", 2, 1);
@@ -379,7 +273,7 @@
 	/**
 	 * Jobs whose caller disconnects before the answer.
 	 */
-	public static class AbandonedJobs extends DispatcherTests {
+	public static class AbandonedJobs extends DispatcherFixture {
 
 		@Test
 		void stopsRuns() {
@@ -405,7 +299,7 @@
 	/**
 	 * Selection of endpoints for tasks.
 	 */
-	public static class EndpointSelection extends DispatcherTests {
+	public static class EndpointSelection extends DispatcherFixture {
 
 		@Test
 		void placesShortTasksOnSlowAndLongTasksOnFastEndpoints() {
--- a/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
@@ -21,7 +21,7 @@
  * Tests of {@link Dispatcher} with runs that it has given up while an agent may still
  * execute them.
  */
-public class GivenUpRunsTests extends DispatcherTests {
+public class GivenUpRunsTests extends DispatcherFixture {
 
 	RunKey startRun(String agent) {
 		linkAgent(agent, 8, 1);
