Agent: test a suspension during which the endpoint is born again

orderFromBeforeIsRefused fails: an attachment forgets the clock of the predecessor, so the suspension isn't detected and an order that waited in a buffer is started.

--- a/core/src/test/java/org/baobabspar/supervise/SuspensionTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/SuspensionTests.java
@@ -81,4 +81,47 @@
 		Assert.assertTrue(this.driver.stops.isEmpty(), this.driver.stops.toString());
 	}
 
+	/**
+	 * The endpoint has also been born again during the suspension, with a new clock, and
+	 * a report or an answer of the new incarnation is read first.
+	 */
+	public static class EndpointBornAgainMeanwhile extends SupervisorFixture {
+
+		private long requestMillis;
+
+		@BeforeMethod
+		void resume() {
+			attach(1);
+			link();
+			this.supervisor.observeEndpointClock(this.nowMillis + ENDPOINT_LEAD_MILLIS, this.nowMillis);
+			this.nowMillis += 20;
+			grant();
+			this.requestMillis = this.nowMillis;
+			this.nowMillis += 5;
+			report("endpoint-1", 2, 1);
+			this.nowMillis += 5;
+			this.supervisor.observeEndpointClock(900, this.nowMillis);
+			observe(2, List.of(), List.of());
+			this.nowMillis += 5;
+		}
+
+		// Guards against a start that waited in a buffer during the suspension, while the
+		// entry has counted the agent as lost and started the task elsewhere.
+		@Test
+		void orderFromBeforeIsRefused() {
+			this.supervisor.start(LINK, new RunStart(++this.lastStartSequence, new RunKey("job-2", "t2", 1), "payload",
+					CORE, 100, this.requestMillis), this.nowMillis);
+			Assert.assertTrue(this.driver.starts.isEmpty(), this.driver.starts.toString());
+			Assert.assertEquals(ends(), List.of(RunEnd.REFUSED));
+		}
+
+		@Test
+		void orderFromAfterwardsCounts() {
+			grant();
+			RunKey run = order("t2");
+			Assert.assertTrue(this.driver.starts.contains(run));
+		}
+
+	}
+
 }
