Agent: let all leases lapse when another incarnation is attached

The clock of another incarnation doesn't show whether this VM was suspended since the last answer of the previous one.

--- a/core/src/main/java/org/baobabspar/fleet/SuspensionDetector.java
+++ b/core/src/main/java/org/baobabspar/fleet/SuspensionDetector.java
@@ -63,9 +63,10 @@
 	/**
 	 * Forgets a peer that is gone.
 	 * @param name the peer
+	 * @return whether the peer has been observed
 	 */
-	public void forget(String name) {
-		this.peers.remove(name);
+	public boolean forget(String name) {
+		return this.peers.remove(name) != null;
 	}
 
 	/**
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -255,6 +255,8 @@
 	 * is alive, and an incarnation with the same id may have carried out orders that were
 	 * meant for its predecessor, so the runs are kept until its inventory shows which of
 	 * them are gone. The higher fencing token excludes orders that are still in flight.
+	 * All leases of entries lapse, since the clock of another incarnation does not show
+	 * whether this VM was suspended since the last answer of the previous one.
 	 * @param report report of the new incarnation
 	 * @param nowMillis the current time
 	 */
@@ -274,7 +276,9 @@
 		this.confirmedEndSequence = 0;
 		this.health.reset(speed);
 		this.lastAnswerMillis = nowMillis;
-		this.suspensions.forget(ENDPOINT);
+		if (this.suspensions.forget(ENDPOINT)) {
+			this.sessions.lapseLeases(nowMillis);
+		}
 		this.driver.attach(report);
 		this.pollInFlight = false;
 		poll(nowMillis);
