--- a/core/src/test/java/org/baobabspar/dispatch/FleetFault.java
+++ b/core/src/test/java/org/baobabspar/dispatch/FleetFault.java
@@ -305,6 +305,20 @@
 		}
 	},
 
+	/**
+	 * Suspends an agent, whose endpoint is born again meanwhile under its old id and with
+	 * a new clock.
+	 */
+	SUSPENSION_WITH_REBIRTH {
+		@Override
+		void inject(FaultTarget target) {
+			long suspendedMillis = target.between(1_200, 2_500);
+			target.agent.process.suspend(suspendedMillis);
+			target.simulation.scheduleAfter(target.between(0, suspendedMillis - 600),
+					() -> target.restartEndpoint(false, true));
+		}
+	},
+
 	/** Suspends one process many times, each too shortly to be noticed. */
 	SHORT_SUSPENSIONS {
 		@Override
