--- a/core/src/main/java/org/baobabspar/fleet/SuspensionDetector.java
+++ b/core/src/main/java/org/baobabspar/fleet/SuspensionDetector.java
@@ -15,8 +15,9 @@
  * most 40,002 ms and is 42,400 ms now, so this VM was suspended for about 2,400 ms. The
  * time of day is not used, since it may be set at any time.
  * <p>
- * Invariants: a message that is late never leads to a detection; a suspension is detected
- * once, not once by each peer. Not thread-safe; used on the control thread only.
+ * Invariants: a message that is later than others of its peer in the last two windows
+ * never leads to a detection; a suspension is detected once, not once by each peer. Not
+ * thread-safe; used on the control thread only.
  */
 public final class SuspensionDetector {
 
--- /dev/null
+++ b/core/src/test/java/org/baobabspar/fleet/SuspensionDetectorDelayTests.java
@@ -0,0 +1,50 @@
+package org.baobabspar.fleet;
+
+import java.util.OptionalLong;
+
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests of {@link SuspensionDetector} with peers of which it has seen late messages only.
+ */
+public class SuspensionDetectorDelayTests {
+
+	private static final long LEAD_MILLIS = 40_000;
+
+	private SuspensionDetector detector;
+
+	private long nowMillis;
+
+	@BeforeMethod
+	void create() {
+		this.detector = new SuspensionDetector(100, 1_000);
+		this.nowMillis = 5_000;
+	}
+
+	private OptionalLong observe(long delayMillis) {
+		return this.detector.observe("a", this.nowMillis + LEAD_MILLIS - delayMillis, this.nowMillis);
+	}
+
+	// Guards against jobs and runs that are given up since the first message was late.
+	@Test
+	void firstMessageThatIsLateIsNoSuspension() {
+		observe(300);
+		this.nowMillis += 400;
+		Assert.assertEquals(observe(0), OptionalLong.empty());
+	}
+
+	// Guards against runs that are stopped when a slow VM recovers.
+	@Test
+	void endOfALongDelayIsNoSuspension() {
+		observe(0);
+		for (int i = 0; i < 20; i++) {
+			this.nowMillis += 150;
+			observe(140);
+		}
+		this.nowMillis += 150;
+		Assert.assertEquals(observe(0), OptionalLong.empty());
+	}
+
+}
