Odd inputs: encode an input for the log only when it is rejected

Cause: each row of each inventory, and each record of a page, was encoded again for a log line that is written only if the row is rejected; an agent reads an inventory with every poll. RejectedInputs also read the monotonic clock in its own words. Before and after: the same behaviour. isolate() takes the encoding as a supplier, and Control.monotonicMillis serves as the clock.

--- a/daemon/src/main/java/org/baobabspar/node/RejectedInputs.java
+++ b/daemon/src/main/java/org/baobabspar/node/RejectedInputs.java
@@ -3,12 +3,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.baobabspar.daemon.Control;
 import org.baobabspar.model.CodedException;
 
 /**
@@ -48,7 +49,7 @@
 	 * @param counter receives the source of each rejected input
 	 */
 	public RejectedInputs(Consumer<String> counter) {
-		this(counter, LOG::warn, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+		this(counter, LOG::warn, Control::monotonicMillis);
 	}
 
 	RejectedInputs(Consumer<String> counter, Consumer<String> lines, LongSupplier clockMillis) {
@@ -67,12 +68,24 @@
 	 * @return whether the action succeeded
 	 */
 	public boolean isolate(String source, String name, byte[] value, Runnable action) {
+		return isolate(source, name, () -> value, action);
+	}
+
+	/**
+	 * Does the same for an input whose bytes are needed only if the action fails.
+	 * @param source the kind of input, one of a fixed set
+	 * @param name name of the input
+	 * @param value encodes the input
+	 * @param action the action
+	 * @return whether the action succeeded
+	 */
+	public boolean isolate(String source, String name, Supplier<byte[]> value, Runnable action) {
 		try {
 			action.run();
 			return true;
 		}
 		catch (RuntimeException ex) {
-			reject(source, name, value, ex);
+			reject(source, name, value.get(), ex);
 			return false;
 		}
 	}
