Suspensions: bound the clocks of peers by whole exchanges, and doubt a gain of the time of day

Cause of SuspensionDetectorDelayTests: a lead read from one message mixes the lead with the delay of the message, so the end of a delay looks like a suspension. Cause of SuspensionWithRebirthSimulationTests: a start that waited in a buffer during a suspension is handled before any peer has shown the suspension, and an endpoint that was born again under its id accepts it.

Change: a peer reads its clock after it was asked and before its answer arrives, so each exchange bounds the lead from both sides; only a lower bound above an earlier upper bound counts. Lease requests return the entry's clock, grants carry it, and an agent takes its entries as peers too. A gain of the time of day on the monotonic clock refuses starts until the endpoint has answered a probe sent afterwards; it ends neither a lease nor a wait.

The tests of the detector name the time of the request now, which the old ones left out: with one time alone a late message and a suspension can't be told apart.

A suspension with a step back of the time of day by as much, and one between the decision and the transmission of a start, are left.

--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -55,8 +55,11 @@
 
 	private static final long RETRY_AFTER_SECONDS = 1;
 
-	/** Suspension of this VM after which callers may have turned to another entry. */
-	private static final long MIN_SUSPENSION_MILLIS = 400;
+	/**
+	 * Shortest suspension of this VM that counts. Callers turn to another entry after a
+	 * longer one; the bounds from lease requests are up to 200 ms apart.
+	 */
+	private static final long MIN_SUSPENSION_MILLIS = 200;
 
 	private static final long SUSPENSION_WINDOW_MILLIS = 10_000;
 
@@ -323,14 +326,14 @@
 			this.outbox.log("agent=" + agent.name + " endpoint=" + request.status().endpointId() + " state="
 					+ request.status().state() + " speed=" + request.status().speed());
 		}
-		detectSuspension(agent, request.sentMillis(), nowMillis);
+		detectSuspension(agent, request, nowMillis);
 		agent.updateStatus(request.status(), nowMillis);
 		agent.agentClockMillis = request.sentMillis();
 		if (agent.listedRuns != null) {
 			reconcile(agent, nowMillis);
 		}
 		if (agent.tryGrant(nowMillis)) {
-			this.outbox.send(agent.link, new LeaseGrant(request.sentMillis(), agent.lastEndSequence));
+			this.outbox.send(agent.link, new LeaseGrant(request.sentMillis(), agent.lastEndSequence, nowMillis));
 		}
 	}
 
@@ -339,14 +342,15 @@
 	 * callers may have turned to another entry meanwhile. The agent's clock is not used
 	 * for a start before this check.
 	 * @param agent the agent
-	 * @param agentMillis the agent's clock
+	 * @param request carries the agent's clock
 	 * @param nowMillis the current time
 	 */
-	private void detectSuspension(AgentView agent, long agentMillis, long nowMillis) {
-		this.suspensions.observe(agent.incarnationName(), agentMillis, nowMillis).ifPresent((lostMillis) -> {
-			this.outbox.log("suspended lost_ms=" + lostMillis + " agent=" + agent.name);
-			declineAll("entry_suspended", nowMillis);
-		});
+	private void detectSuspension(AgentView agent, LeaseRequest request, long nowMillis) {
+		this.suspensions.observe(agent.incarnationName(), request.entryClockMillis(), request.sentMillis(), nowMillis)
+			.ifPresent((lostMillis) -> {
+				this.outbox.log("suspended lost_ms=" + lostMillis + " agent=" + agent.name);
+				declineAll("entry_suspended", nowMillis);
+			});
 	}
 
 	/**
--- a/core/src/main/java/org/baobabspar/fleet/SuspensionDetector.java
+++ b/core/src/main/java/org/baobabspar/fleet/SuspensionDetector.java
@@ -9,15 +9,17 @@
  * of a VM stands still while the VM is suspended, so that a lease seems to last longer
  * than it does. The monotonic clocks of peers go on, and their messages carry them.
  * <p>
- * A delayed message makes the peer's clock seem slower and never faster. The lead of a
- * peer's clock over the own one therefore has a maximum, reached by messages without
- * delay, and exceeds it only if this VM has lost time. Example: the lead of a peer was at
- * most 40,002 ms and is 42,400 ms now, so this VM was suspended for about 2,400 ms. The
- * time of day is not used, since it may be set at any time.
+ * A peer reads its clock after this VM has asked and before the answer arrives, so each
+ * exchange bounds the lead of the peer's clock over the own one from both sides. The lead
+ * grows only if this VM loses time. If its lower bound exceeds an earlier upper bound,
+ * the VM was suspended, whatever the delays of the messages. Example: an exchange that
+ * took 3 ms showed a lead between 40,000 and 40,003 ms, a later one between 42,400 and
+ * 42,500 ms, so this VM was suspended for at least 2,397 ms. The time of day is not used,
+ * since it may be set at any time.
  * <p>
- * Invariants: a message that is later than others of its peer in the last two windows
- * never leads to a detection; a suspension is detected once, not once by each peer. Not
- * thread-safe; used on the control thread only.
+ * Invariants: no delay of messages, in either direction, is taken for a suspension; a
+ * suspension is detected once, not once by each peer. Not thread-safe; used on the
+ * control thread only.
  */
 public final class SuspensionDetector {
 
@@ -30,8 +32,8 @@
 	/**
 	 * Creates a detector.
 	 * @param minSuspensionMillis shortest suspension to detect
-	 * @param windowMillis how long a lead counts at least. Shorter windows tolerate more
-	 * drift between the clocks.
+	 * @param windowMillis how long an upper bound counts at least. Shorter windows
+	 * tolerate more drift between the clocks.
 	 */
 	public SuspensionDetector(long minSuspensionMillis, long windowMillis) {
 		this.minSuspensionMillis = minSuspensionMillis;
@@ -41,24 +43,22 @@
 	/**
 	 * Handles a message that carries the monotonic clock of a peer.
 	 * @param name the peer, unique for each of its incarnations
+	 * @param askedMillis the own monotonic clock at a time before which the peer cannot
+	 * have read its clock: when the message was asked for
 	 * @param peerMillis the peer's clock when it sent the message
 	 * @param nowMillis the own monotonic clock
-	 * @return how long this VM was suspended since the last message, empty if it was not
+	 * @return how long this VM was suspended at least since an earlier message, empty if
+	 * no suspension is proved
 	 */
-	public OptionalLong observe(String name, long peerMillis, long nowMillis) {
-		long leadMillis = peerMillis - nowMillis;
-		Peer peer = this.peers.get(name);
-		if (peer == null) {
-			this.peers.put(name, new Peer(leadMillis, nowMillis));
-			return OptionalLong.empty();
-		}
-		long lostMillis = leadMillis - peer.maxLeadMillis();
-		if (lostMillis > this.minSuspensionMillis) {
+	public OptionalLong observe(String name, long askedMillis, long peerMillis, long nowMillis) {
+		Peer peer = this.peers.computeIfAbsent(name, (n) -> new Peer(nowMillis));
+		long lostMillis = peerMillis - nowMillis - peer.maxLeadMillis();
+		boolean suspended = lostMillis > this.minSuspensionMillis;
+		if (suspended) {
 			this.peers.values().forEach((p) -> p.shift(lostMillis));
-			return OptionalLong.of(lostMillis);
 		}
-		peer.record(leadMillis, nowMillis, this.windowMillis);
-		return OptionalLong.empty();
+		peer.record(peerMillis - askedMillis, nowMillis, this.windowMillis);
+		return suspended ? OptionalLong.of(lostMillis) : OptionalLong.empty();
 	}
 
 	/**
@@ -71,40 +71,42 @@
 	}
 
 	/**
-	 * The greatest leads of a peer's clock in the current window and in the one before.
+	 * The least upper bounds of a peer's lead in the current window and in the one
+	 * before.
 	 */
 	private static final class Peer {
 
-		private long currentLeadMillis;
+		/** Bound of a window without a message; large, and safe to subtract. */
+		private static final long UNBOUNDED = Long.MAX_VALUE / 4;
+
+		private long currentBoundMillis = UNBOUNDED;
 
-		private long previousLeadMillis;
+		private long previousBoundMillis = UNBOUNDED;
 
 		private long windowStartMillis;
 
-		Peer(long leadMillis, long nowMillis) {
-			this.currentLeadMillis = leadMillis;
-			this.previousLeadMillis = leadMillis;
+		Peer(long nowMillis) {
 			this.windowStartMillis = nowMillis;
 		}
 
 		long maxLeadMillis() {
-			return Math.max(this.currentLeadMillis, this.previousLeadMillis);
+			return Math.min(this.currentBoundMillis, this.previousBoundMillis);
 		}
 
-		void record(long leadMillis, long nowMillis, long windowMillis) {
+		void record(long boundMillis, long nowMillis, long windowMillis) {
 			if (nowMillis - this.windowStartMillis >= windowMillis) {
-				this.previousLeadMillis = this.currentLeadMillis;
-				this.currentLeadMillis = leadMillis;
+				this.previousBoundMillis = this.currentBoundMillis;
+				this.currentBoundMillis = boundMillis;
 				this.windowStartMillis = nowMillis;
 			}
 			else {
-				this.currentLeadMillis = Math.max(this.currentLeadMillis, leadMillis);
+				this.currentBoundMillis = Math.min(this.currentBoundMillis, boundMillis);
 			}
 		}
 
 		void shift(long millis) {
-			this.currentLeadMillis += millis;
-			this.previousLeadMillis += millis;
+			this.currentBoundMillis += millis;
+			this.previousBoundMillis += millis;
 		}
 
 	}
--- a/core/src/main/java/org/baobabspar/message/LeaseRequest.java
+++ b/core/src/main/java/org/baobabspar/message/LeaseRequest.java
@@ -10,8 +10,10 @@
  *
  * @param sentMillis reading of the agent's clock
  * @param status status of the agent's endpoint
+ * @param entryClockMillis the last reading of the entry's clock that the agent had
+ * received, so that the entry knows a time before which the request was not sent
  */
-public record LeaseRequest(long sentMillis, EndpointStatus status) implements Message {
+public record LeaseRequest(long sentMillis, EndpointStatus status, long entryClockMillis) implements Message {
 
 	/** Validates the components. */
 	public LeaseRequest {
--- a/core/src/main/java/org/baobabspar/supervise/EntrySession.java
+++ b/core/src/main/java/org/baobabspar/supervise/EntrySession.java
@@ -20,6 +20,8 @@
 
 	final String entry;
 
+	final long incarnation;
+
 	String link;
 
 	boolean linked;
@@ -30,6 +32,9 @@
 
 	long lastRequestMillis;
 
+	/** The entry's clock as of its last grant, 0 before the first one. */
+	long entryClockMillis;
+
 	/** Whether the room has changed since the last request. */
 	boolean statusDue;
 
@@ -43,8 +48,9 @@
 
 	private final Deque<RunEnded> unconfirmedEnds = new ArrayDeque<>();
 
-	EntrySession(String entry) {
+	EntrySession(String entry, long incarnation) {
 		this.entry = entry;
+		this.incarnation = incarnation;
 	}
 
 	RunEnded recordEnd(RunKey run, RunEnd end, long ranMillis) {
@@ -66,6 +72,14 @@
 		return this.unconfirmedEnds;
 	}
 
+	/**
+	 * Returns a name that no other incarnation of an entry has.
+	 * @return the name
+	 */
+	String incarnationName() {
+		return this.entry + "@" + this.incarnation;
+	}
+
 	/**
 	 * Returns whether the lease had lapsed when a granted request was sent.
 	 * @param grant the grant
--- a/core/src/main/java/org/baobabspar/supervise/EntrySessionRegistry.java
+++ b/core/src/main/java/org/baobabspar/supervise/EntrySessionRegistry.java
@@ -73,8 +73,8 @@
 	}
 
 	EntrySession bind(String link, EntryWelcome welcome) {
-		EntrySession session = this.byIncarnation.computeIfAbsent(welcome.entry() + "@" + welcome.incarnation(),
-				(key) -> new EntrySession(welcome.entry()));
+		EntrySession welcomed = new EntrySession(welcome.entry(), welcome.incarnation());
+		EntrySession session = this.byIncarnation.computeIfAbsent(welcomed.incarnationName(), (name) -> welcomed);
 		if (session.link != null) {
 			this.byLink.remove(session.link);
 		}
@@ -104,6 +104,7 @@
 			session.leaseUntilMillis = Math.max(session.leaseUntilMillis,
 					grant.sentMillis() + LeaseTimes.ENTRY_LEASE_MILLIS);
 		}
+		session.entryClockMillis = grant.clockMillis();
 		session.confirmEnds(grant.endsSeen());
 	}
 
@@ -177,7 +178,7 @@
 		session.lastRequestMillis = nowMillis;
 		session.statusDue = false;
 		session.statusUrgent = false;
-		this.outbox.send(session.link, new LeaseRequest(nowMillis, status));
+		this.outbox.send(session.link, new LeaseRequest(nowMillis, status, session.entryClockMillis));
 	}
 
 	/**
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -105,6 +105,8 @@
 	private final SuspensionDetector suspensions = new SuspensionDetector(MIN_SUSPENSION_MILLIS,
 			SUSPENSION_WINDOW_MILLIS);
 
+	private final PossibleSuspension possibleSuspension = new PossibleSuspension(MIN_SUSPENSION_MILLIS);
+
 	private final EndpointIncarnations incarnations = new EndpointIncarnations();
 
 	private EndpointReport endpoint;
@@ -318,12 +320,15 @@
 	}
 
 	/**
-	 * Sends a probe if a start got no answer. A probe asks at once whether such runs are
-	 * present, while the poll in flight may still wait for an end.
+	 * Sends a probe if a start got no answer or this VM may have been suspended. A probe
+	 * is answered at once, while the poll in flight may still wait for an end.
 	 */
 	private void probe() {
-		if (!this.probeInFlight && this.runs.values().stream().anyMatch((run) -> run.phase == Phase.UNCERTAIN)) {
+		boolean needed = this.possibleSuspension.doubtful()
+				|| this.runs.values().stream().anyMatch((run) -> run.phase == Phase.UNCERTAIN);
+		if (needed && !this.probeInFlight && this.endpoint != null) {
 			this.probeInFlight = true;
+			this.possibleSuspension.probeSent();
 			this.driver.probe(this.confirmedEndSequence, this.fencingToken);
 		}
 	}
@@ -336,12 +341,16 @@
 	public void probeAnswered(Optional<RunInventory> answer, long nowMillis) {
 		this.probeInFlight = false;
 		answer.ifPresent((inventory) -> {
+			this.possibleSuspension.probeAnswered();
 			if (isCurrent(inventory)) {
 				applyInventory(inventory, nowMillis);
 			}
 			else {
 				attachToAnswering(inventory, nowMillis);
 			}
+			if (this.possibleSuspension.doubtful()) {
+				probe();
+			}
 		});
 	}
 
@@ -531,14 +540,41 @@
 	}
 
 	/**
-	 * Handles a reading of the endpoint's monotonic clock. If it shows that this VM was
-	 * suspended, all leases of entries lapse, since they may have expired meanwhile.
+	 * Handles a reading of the time of day. If it shows that this VM may have been
+	 * suspended, starts are refused until the endpoint has answered. Called before each
+	 * event.
+	 * @param timeOfDayMillis the time of day
+	 * @param nowMillis the current time
+	 */
+	public void observeTimeOfDay(long timeOfDayMillis, long nowMillis) {
+		if (this.possibleSuspension.observe(timeOfDayMillis, nowMillis)) {
+			this.log.accept("suspension=possible reason=time_of_day_gained runs=" + this.runs.size());
+			probe();
+		}
+	}
+
+	/**
+	 * Handles a reading of the endpoint's monotonic clock, which may show that this VM
+	 * was suspended.
+	 * @param sentMillis when the call was sent whose answer carries the reading
 	 * @param endpointMillis the endpoint's clock
 	 * @param nowMillis the current time
 	 */
-	public void observeEndpointClock(long endpointMillis, long nowMillis) {
-		this.suspensions.observe(ENDPOINT, endpointMillis, nowMillis).ifPresent((lostMillis) -> {
-			this.log.accept("suspended lost_ms=" + lostMillis + " runs=" + this.runs.size());
+	public void observeEndpointClock(long sentMillis, long endpointMillis, long nowMillis) {
+		observeClock(ENDPOINT, sentMillis, endpointMillis, nowMillis);
+	}
+
+	/**
+	 * Lets all leases of entries lapse if the clock of a peer shows that this VM was
+	 * suspended, since they may have expired meanwhile.
+	 * @param peer name of the peer
+	 * @param askedMillis when the reading was asked for
+	 * @param peerMillis the peer's clock
+	 * @param nowMillis the current time
+	 */
+	private void observeClock(String peer, long askedMillis, long peerMillis, long nowMillis) {
+		this.suspensions.observe(peer, askedMillis, peerMillis, nowMillis).ifPresent((lostMillis) -> {
+			this.log.accept("suspended lost_ms=" + lostMillis + " peer=" + peer + " runs=" + this.runs.size());
 			this.sessions.lapseLeases(nowMillis);
 		});
 	}
@@ -580,6 +616,9 @@
 		if (!owner.hasLease(nowMillis) || this.sessions.hasLapsed(order.agentClockMillis())) {
 			return Optional.of("no_lease");
 		}
+		if (this.possibleSuspension.doubtful()) {
+			return Optional.of("suspension_possible");
+		}
 		if (owner.retiring) {
 			return Optional.of("link_retiring");
 		}
@@ -735,8 +774,12 @@
 	 * started their tasks elsewhere.
 	 * @param link the link
 	 * @param grant the grant
+	 * @param nowMillis the current time
 	 */
-	public void granted(String link, LeaseGrant grant) {
+	public void granted(String link, LeaseGrant grant, long nowMillis) {
+		this.sessions.find(link)
+			.ifPresent((session) -> observeClock(session.incarnationName(), grant.sentMillis(), grant.clockMillis(),
+					nowMillis));
 		this.sessions.find(link)
 			.filter((session) -> session.hadLapsedBefore(grant))
 			.ifPresent((session) -> this.runs.values()
--- a/core/src/test/java/org/baobabspar/dispatch/DispatcherFixture.java
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherFixture.java
@@ -81,8 +81,8 @@
 
 	void linkAgent(String name, int freeCores, double speed) {
 		sendHello(name, status(name, freeCores, speed, 0), List.of());
-		this.dispatcher.handleLeaseRequest(name, new LeaseRequest(this.nowMillis, status(name, freeCores, speed, 0)),
-				this.nowMillis);
+		this.dispatcher.handleLeaseRequest(name,
+				new LeaseRequest(this.nowMillis, status(name, freeCores, speed, 0), this.nowMillis), this.nowMillis);
 	}
 
 	void sendHello(String name, EndpointStatus status, List<RunKey> runs) {
--- a/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
@@ -26,8 +26,12 @@
 	public static class Suspensions extends DispatcherFixture {
 
 		private void requestLease(String name, long agentMillis) {
-			this.dispatcher.handleLeaseRequest(name, new LeaseRequest(agentMillis, status(name, 8, 1, 1)),
-					this.nowMillis);
+			requestLease(name, agentMillis, this.nowMillis);
+		}
+
+		private void requestLease(String name, long agentMillis, long entryClockMillis) {
+			this.dispatcher.handleLeaseRequest(name,
+					new LeaseRequest(agentMillis, status(name, 8, 1, 1), entryClockMillis), this.nowMillis);
 		}
 
 		// Guards against a job that goes on at this entry after its caller has handed it
@@ -46,7 +50,7 @@
 			linkAgent("a", 8, 1);
 			submit(createJob("j", 1, 100));
 			this.nowMillis += 600;
-			requestLease("a", this.nowMillis - 500);
+			requestLease("a", this.nowMillis - 500, this.nowMillis - 590);
 			requestLease("a", this.nowMillis);
 			Assert.assertTrue(this.replies.isEmpty());
 		}
@@ -168,8 +172,8 @@
 			RunKey run = startedRuns("a").get(0);
 			this.dispatcher.unregisterLink("a");
 			sendHello("a", status("a", 7, 1, 0), List.of(run));
-			this.dispatcher.handleLeaseRequest("a", new LeaseRequest(this.nowMillis, status("a", 7, 1, 0)),
-					this.nowMillis);
+			this.dispatcher.handleLeaseRequest("a",
+					new LeaseRequest(this.nowMillis, status("a", 7, 1, 0), this.nowMillis), this.nowMillis);
 			this.dispatcher.place(this.nowMillis);
 			Assert.assertEquals(startedRuns("a").size(), 1);
 			endRun("a", run, RunEnd.DONE);
@@ -182,8 +186,8 @@
 			submit(createJob("j", 1, 100));
 			this.dispatcher.handleHello("a",
 					new SupervisorHello("a", 1, "domain-1", status("a", 8, 1, 0), List.of(), 1), this.nowMillis);
-			this.dispatcher.handleLeaseRequest("a", new LeaseRequest(this.nowMillis, status("a", 8, 1, 0)),
-					this.nowMillis);
+			this.dispatcher.handleLeaseRequest("a",
+					new LeaseRequest(this.nowMillis, status("a", 8, 1, 0), this.nowMillis), this.nowMillis);
 			this.dispatcher.place(this.nowMillis);
 			Assert.assertEquals(startedRuns("a").size(), 1);
 		}
@@ -201,7 +205,8 @@
 			EndpointStatus oldStatus = status("a", 8, 1, 0);
 			this.dispatcher.handleHello("older", new SupervisorHello("a", 1, "domain-1", oldStatus, List.of(), older),
 					this.nowMillis);
-			this.dispatcher.handleLeaseRequest("older", new LeaseRequest(this.nowMillis, oldStatus), this.nowMillis);
+			this.dispatcher.handleLeaseRequest("older", new LeaseRequest(this.nowMillis, oldStatus, this.nowMillis),
+					this.nowMillis);
 			this.dispatcher.place(this.nowMillis);
 			Assert.assertEquals(startedRuns("older"), List.of());
 			endRun("a", startedRuns("a").get(0), RunEnd.DONE);
@@ -236,8 +241,8 @@
 			fillFirstAgent();
 			submit(createJob("j", 1, 100));
 			this.nowMillis += 150;
-			this.dispatcher.handleLeaseRequest("a", new LeaseRequest(this.nowMillis, status("a", 0, 1, 2)),
-					this.nowMillis);
+			this.dispatcher.handleLeaseRequest("a",
+					new LeaseRequest(this.nowMillis, status("a", 0, 1, 2), this.nowMillis), this.nowMillis);
 			this.dispatcher.place(this.nowMillis);
 			Assert.assertEquals(outcomes(), List.of());
 			linkAgent("b", 8, 1);
@@ -250,8 +255,8 @@
 			fillFirstAgent();
 			submit(createJob("j", 1, 100));
 			this.nowMillis += 400;
-			this.dispatcher.handleLeaseRequest("a", new LeaseRequest(this.nowMillis, status("a", 0, 1, 2)),
-					this.nowMillis);
+			this.dispatcher.handleLeaseRequest("a",
+					new LeaseRequest(this.nowMillis, status("a", 0, 1, 2), this.nowMillis), this.nowMillis);
 			this.dispatcher.place(this.nowMillis);
 			Assert.assertEquals(outcomes(), List.of(JobOutcome.REFUSED));
 		}
--- a/core/src/test/java/org/baobabspar/dispatch/EndpointConnection.java
+++ b/core/src/test/java/org/baobabspar/dispatch/EndpointConnection.java
@@ -218,6 +218,8 @@
 
 		private final long attachedBornMillis = EndpointConnection.this.bornMillis;
 
+		private final long sentMillis = EndpointConnection.this.agent.process.now();
+
 		private boolean answerable = true;
 
 		private boolean finished;
@@ -227,6 +229,14 @@
 			this.timeoutMillis = timeoutMillis;
 		}
 
+		/**
+		 * Returns when the call was sent.
+		 * @return the time by the clock of the agent
+		 */
+		final long sentMillis() {
+			return this.sentMillis;
+		}
+
 		abstract void carryOut();
 
 		/** Handles the response of an endpoint with another id. */
@@ -305,7 +315,8 @@
 			if (this.answerable) {
 				EndpointConnection.this.simulation.scheduleAfter(LATENCY_MILLIS, () -> finish(() -> {
 					if (withClock && this.attachedBornMillis == EndpointConnection.this.bornMillis) {
-						EndpointConnection.this.agent.update((s, now) -> s.observeEndpointClock(endpointMillis, now));
+						EndpointConnection.this.agent
+							.update((s, now) -> s.observeEndpointClock(this.sentMillis, endpointMillis, now));
 						EndpointConnection.this.clock = new ClockReading(endpointMillis,
 								EndpointConnection.this.agent.process.now());
 					}
@@ -338,8 +349,6 @@
 
 		private final OptionalLong deadlineMillis;
 
-		private final long sentMillis = EndpointConnection.this.agent.process.now();
-
 		InventoryCall(long confirmedEnds, long waitMillis, long fence, OptionalLong deadlineMillis) {
 			super("hold deadline=" + deadlineMillis, INVENTORY_TIMEOUT_MILLIS + waitMillis);
 			this.confirmedEnds = confirmedEnds;
@@ -371,7 +380,7 @@
 			else if (EndpointConnection.this.simulation.nowMillis() >= dueMillis
 					|| target.hasEndsAfter(this.confirmedEnds)) {
 				List<EndedRun> ended = target.endedRuns(this.confirmedEnds);
-				RunInventory inventory = new RunInventory(this.sentMillis, target.bornMillis(), target.presentRuns(),
+				RunInventory inventory = new RunInventory(sentMillis(), target.bornMillis(), target.presentRuns(),
 						ended);
 				answer(() -> listed(inventory), true);
 			}
--- a/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
@@ -41,7 +41,8 @@
 	void relink(String agent, RunKey... listed) {
 		EndpointStatus status = status(agent, 7, 1, 0);
 		sendHello(agent, status, List.of(listed));
-		this.dispatcher.handleLeaseRequest(agent, new LeaseRequest(this.nowMillis, status), this.nowMillis);
+		this.dispatcher.handleLeaseRequest(agent, new LeaseRequest(this.nowMillis, status, this.nowMillis),
+				this.nowMillis);
 		this.dispatcher.place(this.nowMillis);
 	}
 
@@ -61,7 +62,8 @@
 			this.dispatcher.declineAll("test", this.nowMillis);
 			loseAgents();
 			relink("a", run);
-			Assert.assertEquals(sentTo("a"), List.of(new RunStop(run), new LeaseGrant(this.nowMillis, 0)));
+			Assert.assertEquals(sentTo("a"),
+					List.of(new RunStop(run), new LeaseGrant(this.nowMillis, 0, this.nowMillis)));
 		}
 
 		/** Guards against a second run beside a run that was wrongly counted as lost. */
@@ -136,7 +138,8 @@
 			this.dispatcher.unregisterLink("a");
 			this.sentMessages.clear();
 			relink("a", first);
-			Assert.assertEquals(sentTo("a"), List.of(new RunStop(first), new LeaseGrant(this.nowMillis, 0)));
+			Assert.assertEquals(sentTo("a"),
+					List.of(new RunStop(first), new LeaseGrant(this.nowMillis, 0, this.nowMillis)));
 		}
 
 	}
@@ -157,8 +160,8 @@
 			this.dispatcher.unregisterLink("a");
 			sendHello("a", status("a", 7, 1, 0), List.of(run));
 			this.dispatcher.handleRunEnded("a", refusal, this.nowMillis);
-			this.dispatcher.handleLeaseRequest("a", new LeaseRequest(this.nowMillis, status("a", 7, 1, 0)),
-					this.nowMillis);
+			this.dispatcher.handleLeaseRequest("a",
+					new LeaseRequest(this.nowMillis, status("a", 7, 1, 0), this.nowMillis), this.nowMillis);
 			this.dispatcher.place(this.nowMillis);
 			Assert.assertEquals(startedRuns("a").size(), 2);
 		}
@@ -290,7 +293,8 @@
 			this.dispatcher.declineAll("test", this.nowMillis);
 			this.sentMessages.clear();
 			relink("a", run);
-			Assert.assertEquals(sentTo("a"), List.of(new RunStop(run), new LeaseGrant(this.nowMillis, 0)));
+			Assert.assertEquals(sentTo("a"),
+					List.of(new RunStop(run), new LeaseGrant(this.nowMillis, 0, this.nowMillis)));
 		}
 
 		/**
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedAgent.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedAgent.java
@@ -116,12 +116,18 @@
 	}
 
 	void update(SupervisorUpdate event) {
-		long nowMillis = this.process.now();
+		long nowMillis = observeClocks();
 		event.apply(this.supervisor, nowMillis);
 		closeSilentLinks(nowMillis);
 		this.supervisor.flush(nowMillis);
 	}
 
+	private long observeClocks() {
+		long nowMillis = this.process.now();
+		this.supervisor.observeTimeOfDay(this.process.timeOfDayMillis(), nowMillis);
+		return nowMillis;
+	}
+
 	private void closeSilentLinks(long nowMillis) {
 		long timeoutMillis = this.supervisor.idle() ? IDLE_SILENT_LINK_TIMEOUT_MILLIS : SILENT_LINK_TIMEOUT_MILLIS;
 		for (SimulatedLink link : links()) {
@@ -143,13 +149,13 @@
 	}
 
 	void receive(SimulatedLink link, Message message) {
-		long nowMillis = this.process.now();
+		long nowMillis = observeClocks();
 		this.lastReceivedMillis.put(link, nowMillis);
 		if (message instanceof RunStart start) {
 			this.supervisor.start(link.entryNumber(), start, nowMillis);
 		}
 		else if (message instanceof LeaseGrant grant) {
-			this.supervisor.granted(link.entryNumber(), grant);
+			this.supervisor.granted(link.entryNumber(), grant, nowMillis);
 		}
 		else if (message instanceof RunStop stop) {
 			this.supervisor.stop(link.entryNumber(), stop.run(), nowMillis);
--- a/core/src/test/java/org/baobabspar/fleet/SuspensionDetectorTests.java
+++ b/core/src/test/java/org/baobabspar/fleet/SuspensionDetectorTests.java
@@ -30,7 +30,14 @@
 	}
 
 	private OptionalLong observe(String peer, long leadChangeMillis) {
-		return this.detector.observe(peer, this.nowMillis + LEAD_MILLIS + leadChangeMillis, this.nowMillis);
+		long askedMillis = this.nowMillis;
+		return this.detector.observe(peer, askedMillis, this.nowMillis + LEAD_MILLIS + leadChangeMillis,
+				this.nowMillis);
+	}
+
+	private OptionalLong observeLate(String peer, long delayMillis) {
+		long askedMillis = this.nowMillis - delayMillis;
+		return this.detector.observe(peer, askedMillis, askedMillis + LEAD_MILLIS, this.nowMillis);
 	}
 
 	// Guards against a lease that a suspended VM takes for valid after it has expired.
@@ -56,14 +63,14 @@
 
 	@Test
 	void lateMessageIsNoSuspension() {
-		observe("a", -3_000);
+		observeLate("a", 3_000);
 		Assert.assertEquals(observe("a", 0), OptionalLong.empty());
 	}
 
 	@Test
 	void lateMessageAfterLongSilenceIsNoSuspension() {
 		this.nowMillis += 10 * WINDOW_MILLIS;
-		observe("a", -3_000);
+		observeLate("a", 3_000);
 		Assert.assertEquals(observe("a", 0), OptionalLong.empty());
 	}
 
--- a/core/src/test/java/org/baobabspar/supervise/EndpointHealthTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/EndpointHealthTests.java
@@ -14,7 +14,7 @@
 	private static final long EXPECTED_MILLIS = 100;
 
 	private static SupervisedRun run(String jobId) {
-		return new SupervisedRun(new RunKey(jobId, jobId + "/0/0", 1), new EntrySession("entry"), Resources.NONE,
+		return new SupervisedRun(new RunKey(jobId, jobId + "/0/0", 1), new EntrySession("entry", 1), Resources.NONE,
 				EXPECTED_MILLIS, 0);
 	}
 
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorRenewalTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorRenewalTests.java
@@ -49,7 +49,7 @@
 		}
 
 		void grantOther() {
-			this.supervisor.granted(OTHER_LINK, new LeaseGrant(this.nowMillis, 0));
+			this.supervisor.granted(OTHER_LINK, new LeaseGrant(this.nowMillis, 0, 0), this.nowMillis);
 		}
 
 		RunKey orderOther(String task) {
@@ -148,7 +148,7 @@
 			long requestMillis = this.nowMillis + LeaseTimes.ENTRY_LEASE_MILLIS - 1;
 			this.nowMillis = requestMillis + 10;
 			grantOther();
-			this.supervisor.granted(LINK, new LeaseGrant(requestMillis, 0));
+			this.supervisor.granted(LINK, new LeaseGrant(requestMillis, 0, 0), this.nowMillis);
 			this.supervisor.tick(this.nowMillis);
 			Assert.assertFalse(this.driver.stops.contains("t1#1"));
 		}
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
@@ -68,7 +68,7 @@
 			link();
 			running("t1");
 			this.supervisor.welcomed("entry-2", new EntryWelcome("entry-2", 8, 0, 0), this.nowMillis);
-			this.supervisor.granted("entry-2", new LeaseGrant(this.nowMillis, 0));
+			this.supervisor.granted("entry-2", new LeaseGrant(this.nowMillis, 0, 0), this.nowMillis);
 			this.supervisor.start("entry-2",
 					new RunStart(1, new RunKey("job", "t2", 1), "payload", CORE, 100, this.nowMillis), this.nowMillis);
 			Assert.assertEquals(this.driver.starts.size(), 1);
@@ -187,7 +187,7 @@
 			running("t1");
 			long requestMillis = this.nowMillis;
 			advance(LeaseTimes.ENTRY_LEASE_MILLIS - 10);
-			this.supervisor.granted(LINK, new LeaseGrant(requestMillis, 0));
+			this.supervisor.granted(LINK, new LeaseGrant(requestMillis, 0, 0), this.nowMillis);
 			advance(10);
 			Assert.assertEquals(this.driver.stops, List.of("t1#1"));
 		}
@@ -255,7 +255,7 @@
 			Assert.assertTrue(ends().isEmpty());
 			link();
 			Assert.assertEquals(ends(), List.of(RunEnd.DONE));
-			this.supervisor.granted(LINK, new LeaseGrant(this.nowMillis, 1));
+			this.supervisor.granted(LINK, new LeaseGrant(this.nowMillis, 1, 0), this.nowMillis);
 			this.supervisor.unlinked(LINK);
 			this.sent.clear();
 			link();
--- a/core/src/test/java/org/baobabspar/supervise/SupervisorFixture.java
+++ b/core/src/test/java/org/baobabspar/supervise/SupervisorFixture.java
@@ -65,7 +65,7 @@
 	}
 
 	void grant() {
-		this.supervisor.granted(LINK, new LeaseGrant(this.nowMillis, 0));
+		this.supervisor.granted(LINK, new LeaseGrant(this.nowMillis, 0, 0), this.nowMillis);
 	}
 
 	RunKey order(String task) {
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -161,8 +161,18 @@
 		this.control.run(() -> apply(event));
 	}
 
-	private void apply(SupervisorUpdate event) {
+	/**
+	 * Reads the clocks before an event.
+	 * @return the monotonic time
+	 */
+	private long observeClocks() {
 		long now = this.monotonicMillis.getAsLong();
+		this.supervisor.observeTimeOfDay(System.currentTimeMillis(), now);
+		return now;
+	}
+
+	private void apply(SupervisorUpdate event) {
+		long now = observeClocks();
 		event.apply(this.supervisor, now);
 		closeSilentLinks(now);
 		this.supervisor.flush(now);
@@ -203,13 +213,13 @@
 
 	@Override
 	public void receive(String link, Message message) {
-		long now = this.monotonicMillis.getAsLong();
+		long now = observeClocks();
 		this.lastReceivedMillis.put(link, now);
 		if (message instanceof RunStart start) {
 			this.supervisor.start(link, start, now);
 		}
 		else if (message instanceof LeaseGrant grant) {
-			this.supervisor.granted(link, grant);
+			this.supervisor.granted(link, grant, now);
 		}
 		else if (message instanceof RunStop stop) {
 			this.supervisor.stop(link, stop.run(), now);
--- a/wire/src/test/java/org/baobabspar/wire/FrameCodecTests.java
+++ b/wire/src/test/java/org/baobabspar/wire/FrameCodecTests.java
@@ -132,11 +132,11 @@
 	public Object[][] oddFrames() throws IOException {
 		EndpointStatus status = new EndpointStatus("i", "s", EndpointState.READY, Resources.NONE, Resources.NONE,
 				List.of(), 1, 0);
-		LeaseRequest request = new LeaseRequest(1, status);
-		LeaseGrant grant = new LeaseGrant(1, 1);
+		LeaseRequest request = new LeaseRequest(1, status, 1);
+		LeaseGrant grant = new LeaseGrant(1, 1, 1);
 		RoutingNotice notice = new RoutingNotice(new RoutingTable(1, List.of(), 1));
-		return new Object[][] { { "NaN", this.codec.encode(new LeaseRequest(1, withSpeed(status, Double.NaN))) },
-				{ "infinite", this.codec.encode(new LeaseRequest(1, withSpeed(status, Double.POSITIVE_INFINITY))) },
+		return new Object[][] { { "NaN", this.codec.encode(new LeaseRequest(1, withSpeed(status, Double.NaN), 1)) },
+				{ "infinite", this.codec.encode(new LeaseRequest(1, withSpeed(status, Double.POSITIVE_INFINITY), 1)) },
 				{ "no status", frame(request, (out) -> out.packArrayHeader(1).packLong(1)) },
 				{ "route without text",
 						frame(notice,
