--- a/core/src/main/java/org/baobabspar/dispatch/DispatchedJob.java
+++ b/core/src/main/java/org/baobabspar/dispatch/DispatchedJob.java
@@ -106,16 +106,38 @@
 	 * is not held back
 	 */
 	boolean ready(DispatchedTask task) {
-		return task.state == State.PENDING && !this.heldBack.test(task.name)
-				&& task.step.dependsOn().stream().allMatch((d) -> this.remainingByStep[d] == 0);
+		return task.state == State.PENDING && !this.heldBack.test(task.name) && dependenciesDone(task);
+	}
+
+	private boolean dependenciesDone(DispatchedTask task) {
+		for (int step : task.step.dependsOn()) {
+			if (this.remainingByStep[step] > 0) {
+				return false;
+			}
+		}
+		return true;
 	}
 
 	List<DispatchedTask> readyTasks() {
-		return this.tasks.stream().filter(this::ready).toList();
+		List<DispatchedTask> ready = new ArrayList<>();
+		for (DispatchedTask task : this.tasks) {
+			if (ready(task)) {
+				ready.add(task);
+			}
+		}
+		return ready;
 	}
 
 	boolean placeable() {
-		return !this.closed && this.remainingTasks > this.outstandingRuns && this.tasks.stream().anyMatch(this::ready);
+		if (this.closed || this.remainingTasks <= this.outstandingRuns) {
+			return false;
+		}
+		for (DispatchedTask task : this.tasks) {
+			if (ready(task)) {
+				return true;
+			}
+		}
+		return false;
 	}
 
 	void markDispatched(DispatchedTask task) {
--- a/core/src/main/java/org/baobabspar/dispatch/EndpointSelector.java
+++ b/core/src/main/java/org/baobabspar/dispatch/EndpointSelector.java
@@ -1,11 +1,7 @@
 package org.baobabspar.dispatch;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 
 import org.baobabspar.fleet.Resources;
 
@@ -22,8 +18,10 @@
  * The ready tasks of a job start together or not at all, unless they need more than
  * {@link #WIDE_JOB_SHARE} of the capacity or the job may have started already.
  * <p>
- * An instance holds the free room during one placement pass. Not thread-safe; used on the
- * control thread only.
+ * An instance holds the free room during one placement pass, in which many jobs may wait
+ * while there is room for none of them. Invariant: a task that needs at least as much
+ * room as one that fitted nowhere costs no look at the endpoints. Not thread-safe; used
+ * on the control thread only.
  */
 final class EndpointSelector {
 
@@ -36,28 +34,28 @@
 	 */
 	private static final double WIDE_JOB_SHARE = 0.25;
 
-	private final List<AgentView> agents;
-
-	private final String domain;
+	private final List<Candidate> candidates = new ArrayList<>();
 
 	private final long nowMillis;
 
-	private final Map<AgentView, Resources> freeRoom = new HashMap<>();
-
 	private Resources capacity = Resources.NONE;
 
+	private double highestSpeed;
+
+	/** The least room that was found nowhere, {@code null} while there is none. */
+	private Resources unavailableRoom;
+
 	EndpointSelector(List<AgentView> agents, String domain, long nowMillis) {
-		this.agents = agents;
-		this.domain = domain;
 		this.nowMillis = nowMillis;
 		for (AgentView agent : agents) {
-			this.freeRoom.put(agent, agent.free());
+			this.candidates.add(new Candidate(agent, domain));
 			this.capacity = this.capacity.plus(agent.status.capacity());
+			this.highestSpeed = Math.max(this.highestSpeed, agent.status.speed());
 		}
 	}
 
 	boolean empty() {
-		return this.agents.isEmpty();
+		return this.candidates.isEmpty();
 	}
 
 	/**
@@ -69,16 +67,21 @@
 	List<Assignment> select(DispatchedJob job, boolean late) {
 		List<DispatchedTask> ready = job.readyTasks();
 		List<Assignment> assignments = new ArrayList<>();
+		List<Candidate> selected = new ArrayList<>();
 		for (DispatchedTask task : ready) {
-			Optional<AgentView> agent = select(task, late, assignments);
-			if (agent.isEmpty()) {
+			Candidate candidate = select(task, late, assignments);
+			if (candidate == null) {
 				break;
 			}
-			assignments.add(new Assignment(task, agent.get()));
-			this.freeRoom.merge(agent.get(), task.step.resources(), Resources::minus);
+			selected.add(candidate);
+			assignments.add(new Assignment(task, candidate.agent));
+			candidate.free = candidate.free.minus(task.step.resources());
 		}
 		if (assignments.size() < ready.size() && !wide(ready) && !job.mayHaveStarted()) {
-			assignments.forEach((a) -> this.freeRoom.merge(a.agent(), a.task().step.resources(), Resources::plus));
+			for (int i = 0; i < selected.size(); i++) {
+				Candidate candidate = selected.get(i);
+				candidate.free = candidate.free.plus(assignments.get(i).task().step.resources());
+			}
 			return List.of();
 		}
 		return assignments;
@@ -90,45 +93,54 @@
 				|| total.memoryMegabytes() > WIDE_JOB_SHARE * this.capacity.memoryMegabytes();
 	}
 
-	private Optional<AgentView> select(DispatchedTask task, boolean late, List<Assignment> assignments) {
-		double workMillis = task.job.predictedMillis[task.stepIndex];
-		List<AgentView> candidates = this.agents.stream().filter((a) -> fits(task, a, assignments)).toList();
-		Optional<AgentView> inTime = candidates.stream()
-			.filter((a) -> meetsObjective(task.job, workMillis, a))
-			.min(Comparator.comparingDouble((a) -> cost(a)));
-		if (inTime.isPresent() || !late) {
-			return inTime;
-		}
-		return candidates.stream().max(Comparator.comparingDouble((a) -> a.status.speed()));
-	}
-
 	/**
-	 * Returns the cost of an endpoint that is fast enough. Slow endpoints are preferred,
-	 * with speeds grouped in broad steps. Within a step, endpoints in the entry's own
-	 * failure domain and endpoints with a low utilization are preferred.
-	 * @param agent the agent of the endpoint
-	 * @return the cost, lower is better
+	 * Selects the endpoint of lowest cost among those that have room and are fast enough,
+	 * or the fastest one that has room if late endpoints are accepted.
+	 * @param task the task
+	 * @param late whether endpoints are accepted on which the job misses its objective
+	 * @param assignments the assignments of the same job so far
+	 * @return the endpoint, {@code null} if the task has to wait
 	 */
-	private double cost(AgentView agent) {
-		double speedStep = Math.rint(4 * Math.log(agent.status.speed()));
-		double distance = agent.domain.equals(this.domain) ? 0 : 0.3;
-		double utilization = 1 - (double) this.freeRoom.get(agent).cpuMillicores()
-				/ Math.max(1, agent.status.capacity().cpuMillicores());
-		return speedStep + distance + 0.6 * utilization;
+	private Candidate select(DispatchedTask task, boolean late, List<Assignment> assignments) {
+		Resources room = task.step.resources();
+		if (this.unavailableRoom != null && this.unavailableRoom.fitsInto(room)) {
+			return null;
+		}
+		double requiredSpeed = requiredSpeed(task.job, task.job.predictedMillis[task.stepIndex]);
+		Candidate cheapest = null;
+		Candidate fastest = null;
+		boolean roomFound = false;
+		for (Candidate candidate : this.candidates) {
+			if (!room.fitsInto(candidate.free)) {
+				continue;
+			}
+			roomFound = true;
+			if (!admits(task, candidate.agent, assignments)) {
+				continue;
+			}
+			if (candidate.speed >= requiredSpeed && (cheapest == null || candidate.cost() < cheapest.cost())) {
+				cheapest = candidate;
+			}
+			if (fastest == null || candidate.speed > fastest.speed) {
+				fastest = candidate;
+			}
+		}
+		if (!roomFound && assignments.isEmpty()) {
+			this.unavailableRoom = room;
+		}
+		return (cheapest != null || !late) ? cheapest : fastest;
 	}
 
-	private boolean fits(DispatchedTask task, AgentView agent, List<Assignment> assignments) {
-		if (!task.step.resources().fitsInto(this.freeRoom.get(agent))) {
-			return false;
-		}
-		if (!task.step.requiredLabel().isEmpty() && !agent.status.labels().contains(task.step.requiredLabel())) {
+	private boolean admits(DispatchedTask task, AgentView agent, List<Assignment> assignments) {
+		String label = task.step.requiredLabel();
+		if (!label.isEmpty() && !agent.status.labels().contains(label)) {
 			return false;
 		}
-		if (task.failedAgents.contains(agent.name) && task.failedAgents.size() < this.agents.size()) {
+		if (task.failedAgents.contains(agent.name) && task.failedAgents.size() < this.candidates.size()) {
 			return false;
 		}
-		return task.step.maxPerEndpoint() == 0
-				|| tasksOfSameStep(task, agent, assignments) < task.step.maxPerEndpoint();
+		int limit = task.step.maxPerEndpoint();
+		return limit == 0 || tasksOfSameStep(task, agent, assignments) < limit;
 	}
 
 	private long tasksOfSameStep(DispatchedTask task, AgentView agent, List<Assignment> assignments) {
@@ -141,11 +153,17 @@
 			.count();
 	}
 
-	private boolean meetsObjective(DispatchedJob job, double workMillis, AgentView agent) {
+	/**
+	 * Returns the speed from which on an endpoint meets the objective of a job.
+	 * @param job the job
+	 * @param workMillis the work of the next task at speed 1
+	 * @return the speed, infinite if no endpoint can
+	 */
+	private double requiredSpeed(DispatchedJob job, double workMillis) {
+		double remainingWorkMillis = Math.max(workMillis, job.criticalPathMillis);
 		double waitedMillis = this.nowMillis - job.receivedMillis;
-		double remainingMillis = Math.max(0, job.criticalPathMillis - workMillis);
-		double totalMillis = waitedMillis + (workMillis + remainingMillis) / agent.status.speed() + OVERHEAD_MILLIS;
-		return totalMillis <= job.objectiveMillis();
+		double leftMillis = job.objectiveMillis() - waitedMillis - OVERHEAD_MILLIS;
+		return (leftMillis > 0) ? remainingWorkMillis / leftMillis : Double.POSITIVE_INFINITY;
 	}
 
 	/**
@@ -154,7 +172,7 @@
 	 * @return whether the job can still meet its objective
 	 */
 	boolean canMeetObjective(DispatchedJob job) {
-		return this.agents.stream().anyMatch((a) -> meetsObjective(job, job.criticalPathMillis, a));
+		return this.highestSpeed >= requiredSpeed(job, job.criticalPathMillis);
 	}
 
 	/**
@@ -163,10 +181,57 @@
 	 */
 	double utilization() {
 		long total = this.capacity.cpuMillicores();
-		long unused = this.freeRoom.values().stream().mapToLong(Resources::cpuMillicores).sum();
+		long unused = 0;
+		for (Candidate candidate : this.candidates) {
+			unused += candidate.free.cpuMillicores();
+		}
 		return (total > 0) ? 1 - (double) unused / total : 1;
 	}
 
+	/**
+	 * An endpoint and the room that is left on it in this pass.
+	 */
+	private static final class Candidate {
+
+		/** Cost of a call to another failure domain, in steps of speed. */
+		private static final double DISTANCE_COST = 0.3;
+
+		/** Cost of an endpoint without free processors, in steps of speed. */
+		private static final double UTILIZATION_COST = 0.6;
+
+		/** Number of steps by which the cost grows while the speed grows by e. */
+		private static final double SPEED_STEPS = 4;
+
+		private final AgentView agent;
+
+		private final double speed;
+
+		private final double fixedCost;
+
+		private Resources free;
+
+		Candidate(AgentView agent, String domain) {
+			this.agent = agent;
+			this.speed = agent.status.speed();
+			double speedStep = Math.rint(SPEED_STEPS * Math.log(this.speed));
+			this.fixedCost = speedStep + (agent.domain.equals(domain) ? 0 : DISTANCE_COST);
+			this.free = agent.free();
+		}
+
+		/**
+		 * Returns the cost of an endpoint that is fast enough. Slow endpoints are
+		 * preferred, with speeds grouped in broad steps. Within a step, endpoints in the
+		 * entry's own failure domain and endpoints with a low utilization are preferred.
+		 * @return the cost, lower is better
+		 */
+		double cost() {
+			double utilization = 1
+					- (double) this.free.cpuMillicores() / Math.max(1, this.agent.status.capacity().cpuMillicores());
+			return this.fixedCost + UTILIZATION_COST * utilization;
+		}
+
+	}
+
 	/**
 	 * The assignment of a task to an endpoint.
 	 *
--- a/core/src/test/java/org/baobabspar/dispatch/DispatcherFixture.java
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherFixture.java
@@ -85,6 +85,19 @@
 				new LeaseRequest(this.nowMillis, status(name, freeCores, speed, 0), this.nowMillis), this.nowMillis);
 	}
 
+	/**
+	 * Reports the free room of an agent after a start, and places waiting jobs.
+	 * @param name the agent
+	 * @param freeCores the free cores
+	 * @param lastStartSequence sequence number of the last start that the agent has seen
+	 */
+	void reportRoom(String name, int freeCores, long lastStartSequence) {
+		this.dispatcher.handleLeaseRequest(name,
+				new LeaseRequest(this.nowMillis, status(name, freeCores, 1, lastStartSequence), this.nowMillis),
+				this.nowMillis);
+		this.dispatcher.place(this.nowMillis);
+	}
+
 	void sendHello(String name, EndpointStatus status, List<RunKey> runs) {
 		long number = this.dispatcher.registerLink(name);
 		this.dispatcher.handleHello(name, new SupervisorHello(name, 1, "domain-1", status, runs, number),
