Placing: a margin for underestimated tasks while there is room

Change: up to 0.6 of the processors in use, an endpoint is preferred on which 1.5 times the predicted work is in time.

--- a/core/src/main/java/org/baobabspar/dispatch/EndpointSelector.java
+++ b/core/src/main/java/org/baobabspar/dispatch/EndpointSelector.java
@@ -34,6 +34,18 @@
 	 */
 	private static final double WIDE_JOB_SHARE = 0.25;
 
+	/**
+	 * Factor by which a task may take longer than predicted and its job is still in time,
+	 * on the endpoints that are preferred. One in six tasks exceeds it.
+	 */
+	private static final double PREDICTION_MARGIN = 1.5;
+
+	/**
+	 * Utilization of the processors up to which endpoints are chosen with the margin.
+	 * Beyond, short tasks would take the room on fast endpoints that long ones need.
+	 */
+	private static final double MARGIN_MAX_UTILIZATION = 0.6;
+
 	private final List<Candidate> candidates = new ArrayList<>();
 
 	private final long nowMillis;
@@ -42,6 +54,8 @@
 
 	private double highestSpeed;
 
+	private final boolean withMargin;
+
 	/** The least room that was found nowhere, {@code null} while there is none. */
 	private Resources unavailableRoom;
 
@@ -52,6 +66,7 @@
 			this.capacity = this.capacity.plus(agent.status.capacity());
 			this.highestSpeed = Math.max(this.highestSpeed, agent.status.speed());
 		}
+		this.withMargin = utilization() <= MARGIN_MAX_UTILIZATION;
 	}
 
 	boolean empty() {
@@ -95,7 +110,8 @@
 
 	/**
 	 * Selects the endpoint of lowest cost among those that have room and are fast enough,
-	 * or the fastest one that has room if late endpoints are accepted.
+	 * with the margin for errors of the prediction if there are such, or the fastest one
+	 * that has room if late endpoints are accepted.
 	 * @param task the task
 	 * @param late whether endpoints are accepted on which the job misses its objective
 	 * @param assignments the assignments of the same job so far
@@ -106,7 +122,10 @@
 		if (this.unavailableRoom != null && this.unavailableRoom.fitsInto(room)) {
 			return null;
 		}
-		double requiredSpeed = requiredSpeed(task.job, task.job.predictedMillis[task.stepIndex]);
+		double workMillis = task.job.predictedMillis[task.stepIndex];
+		double requiredSpeed = requiredSpeed(task.job, workMillis, 1);
+		double safeSpeed = this.withMargin ? requiredSpeed(task.job, workMillis, PREDICTION_MARGIN) : requiredSpeed;
+		Candidate safest = null;
 		Candidate cheapest = null;
 		Candidate fastest = null;
 		boolean roomFound = false;
@@ -121,6 +140,9 @@
 			if (candidate.speed >= requiredSpeed && (cheapest == null || candidate.cost() < cheapest.cost())) {
 				cheapest = candidate;
 			}
+			if (candidate.speed >= safeSpeed && (safest == null || candidate.cost() < safest.cost())) {
+				safest = candidate;
+			}
 			if (fastest == null || candidate.speed > fastest.speed) {
 				fastest = candidate;
 			}
@@ -128,6 +150,9 @@
 		if (!roomFound && assignments.isEmpty()) {
 			this.unavailableRoom = room;
 		}
+		if (safest != null) {
+			return safest;
+		}
 		return (cheapest != null || !late) ? cheapest : fastest;
 	}
 
@@ -156,13 +181,15 @@
 	/**
 	 * Returns the speed from which on an endpoint meets the objective of a job.
 	 * @param job the job
-	 * @param workMillis the work of the next task at speed 1
+	 * @param workMillis the predicted work of the next task at speed 1
+	 * @param margin the actual work divided by the predicted one
 	 * @return the speed, infinite if no endpoint can
 	 */
-	private double requiredSpeed(DispatchedJob job, double workMillis) {
-		double remainingWorkMillis = Math.max(workMillis, job.criticalPathMillis);
+	private double requiredSpeed(DispatchedJob job, double workMillis, double margin) {
+		double remainingWorkMillis = margin * Math.max(workMillis, job.criticalPathMillis);
 		double waitedMillis = this.nowMillis - job.receivedMillis;
-		double leftMillis = job.objectiveMillis() - waitedMillis - OVERHEAD_MILLIS;
+		double objectiveMillis = job.route.objectiveMillis(margin * job.criticalPathMillis);
+		double leftMillis = objectiveMillis - waitedMillis - OVERHEAD_MILLIS;
 		return (leftMillis > 0) ? remainingWorkMillis / leftMillis : Double.POSITIVE_INFINITY;
 	}
 
@@ -172,7 +199,7 @@
 	 * @return whether the job can still meet its objective
 	 */
 	boolean canMeetObjective(DispatchedJob job) {
-		return this.highestSpeed >= requiredSpeed(job, job.criticalPathMillis);
+		return this.highestSpeed >= requiredSpeed(job, job.criticalPathMillis, 1);
 	}
 
 	/**
