Revert waiting starts at a full endpoint

Cause of the try: starts of several entries collide on room that they have all seen. Conclusion: a start that waits at a full, mostly slow, endpoint loses what it saves in messages; not worth its code.

--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -21,7 +21,6 @@
 import org.baobabspar.message.RunStart;
 import org.baobabspar.message.SupervisorHello;
 import org.baobabspar.supervise.EndpointIncarnations.ReportUse;
-import org.baobabspar.supervise.StartQueue.WaitingStart;
 import org.baobabspar.supervise.SupervisedRun.Phase;
 
 /**
@@ -99,9 +98,6 @@
 
 	private final Map<String, SupervisedRun> runs = new LinkedHashMap<>();
 
-	/** Starts that wait for the end of another run. */
-	private final StartQueue startQueue = new StartQueue();
-
 	private final LeaseRenewals renewals;
 
 	private final EndpointHealth health = new EndpointHealth();
@@ -586,8 +582,7 @@
 	// Runs
 
 	/**
-	 * Handles an order to start a run: starts it, lets it wait a moment for room, or
-	 * reports it as refused.
+	 * Handles an order to start a run: starts it, or reports it as refused.
 	 * @param link the link on which the order came
 	 * @param order the order
 	 * @param nowMillis the current time
@@ -598,50 +593,13 @@
 			return;
 		}
 		owner.lastStartSequence = order.sequence();
-		WaitingStart start = new WaitingStart(owner, order, nowMillis);
-		Optional<String> reason = refusalReason(owner, order, nowMillis)
-			.or(() -> isPresent(start) ? Optional.of("job_present") : Optional.empty());
+		Optional<String> reason = refusalReason(owner, order, nowMillis);
 		if (reason.isPresent()) {
-			refuse(start, reason.get());
-		}
-		else if (this.startQueue.isEmpty() && order.resources().fitsInto(offeredRoom())) {
-			begin(owner, order, nowMillis);
-		}
-		else if (this.health.isOnProbation() || !this.startQueue.offer(start)) {
-			refuse(start, "no_room");
-		}
-	}
-
-	private void refuse(WaitingStart start, String reason) {
-		this.log.accept("refuse run=" + start.run().task() + "#" + start.run().number() + " entry="
-				+ start.owner().entry + " reason=" + reason);
-		this.sessions.reportEnd(start.owner(), start.run(), RunEnd.REFUSED, 0);
-	}
-
-	/**
-	 * Begins the waiting starts for which there is room now, and refuses those that may
-	 * not begin any more or have waited for too long.
-	 * @param nowMillis the current time
-	 */
-	private void beginWaitingStarts(long nowMillis) {
-		while (!this.startQueue.isEmpty()) {
-			WaitingStart start = this.startQueue.first();
-			Optional<String> reason = refusalReason(start.owner(), start.order(), nowMillis);
-			boolean fits = start.order().resources().fitsInto(offeredRoom());
-			if (reason.isEmpty() && !fits && !start.expired(nowMillis)) {
-				return;
-			}
-			this.startQueue.removeFirst();
-			if (reason.isEmpty() && fits) {
-				begin(start.owner(), start.order(), nowMillis);
-			}
-			else {
-				refuse(start, reason.orElse("no_room waited_ms=" + (nowMillis - start.arrivedMillis())));
-			}
+			this.log.accept("refuse run=" + order.run().task() + "#" + order.run().number() + " entry=" + owner.entry
+					+ " reason=" + reason.get());
+			this.sessions.reportEnd(owner, order.run(), RunEnd.REFUSED, 0);
+			return;
 		}
-	}
-
-	private void begin(EntrySession owner, RunStart order, long nowMillis) {
 		SupervisedRun run = new SupervisedRun(order.run(), owner, order.resources(), order.expectedMillis(), nowMillis);
 		run.endpointId = this.endpoint.endpointId();
 		run.fencingToken = this.fencingToken;
@@ -671,24 +629,16 @@
 		if (state == EndpointState.DRAINING || state == EndpointState.SILENT) {
 			return Optional.of(state.name());
 		}
-		return (state == EndpointState.SUSPECT) ? Optional.of("endpoint_suspect") : Optional.empty();
-	}
-
-	/**
-	 * Tells whether a run of the same task, or of the same job from another entry, is
-	 * present or waits to begin.
-	 * @param start the start
-	 * @return whether the start would lead to overlapping runs
-	 */
-	private boolean isPresent(WaitingStart start) {
-		String task = start.run().task();
-		String jobId = start.run().jobId();
-		return this.runs.containsKey(task)
-				|| this.runs.values()
-					.stream()
-					.anyMatch((run) -> run.owner != start.owner() && run.key.jobId().equals(jobId))
-				|| this.startQueue.contains((waiting) -> waiting.run().task().equals(task)
-						|| (waiting.owner() != start.owner() && waiting.run().jobId().equals(jobId)));
+		if (this.runs.values()
+			.stream()
+			.anyMatch((run) -> run.owner != owner && run.key.jobId().equals(order.run().jobId()))
+				|| this.runs.containsKey(order.run().task())) {
+			return Optional.of("job_present");
+		}
+		if (state == EndpointState.SUSPECT) {
+			return Optional.of("endpoint_suspect");
+		}
+		return order.resources().fitsInto(offeredRoom(nowMillis)) ? Optional.empty() : Optional.of("no_room");
 	}
 
 	/**
@@ -734,7 +684,6 @@
 	 * @param nowMillis the current time
 	 */
 	public void stop(String link, RunKey key, long nowMillis) {
-		this.startQueue.remove((start) -> start.run().equals(key)).forEach((start) -> refuse(start, "stopped"));
 		SupervisedRun run = this.runs.get(key.task());
 		if (run != null && run.key.equals(key)) {
 			run.excludeFromLaterGrants();
@@ -801,23 +750,12 @@
 	 */
 	public void welcomed(String link, EntryWelcome welcome, long nowMillis) {
 		EntrySession session = this.sessions.bind(link, welcome);
-		refuseWaitingStarts(session);
 		this.outbox.send(link, new SupervisorHello(this.agent, this.incarnation, this.domain,
 				status(session, nowMillis), runsOf(session), welcome.linkNumber()));
 		session.unconfirmedEnds().forEach((end) -> this.outbox.send(link, end));
 		this.sessions.requestLease(session, status(session, nowMillis), nowMillis);
 	}
 
-	/**
-	 * Refuses the waiting starts of an entry whose link has ended. The list of runs in
-	 * the next hello doesn't include them, so the entry takes them for starts that were
-	 * lost.
-	 * @param session session of the entry
-	 */
-	private void refuseWaitingStarts(EntrySession session) {
-		this.startQueue.remove((start) -> start.owner() == session).forEach((start) -> refuse(start, "link_ended"));
-	}
-
 	private List<RunKey> runsOf(EntrySession session) {
 		return this.runs.values().stream().filter((run) -> run.owner == session).map((run) -> run.key).toList();
 	}
@@ -827,7 +765,6 @@
 	 * @param link the link
 	 */
 	public void unlinked(String link) {
-		this.sessions.find(link).ifPresent(this::refuseWaitingStarts);
 		this.sessions.unbind(link);
 	}
 
@@ -878,12 +815,11 @@
 	}
 
 	/**
-	 * Begins waiting starts and sends the lease requests and status updates that are due.
-	 * Called after each batch of events, so that changes of the same batch are sent once.
+	 * Sends the lease requests and status updates that are due. Called after each batch
+	 * of events, so that changes of the same batch are sent once.
 	 * @param nowMillis the current time
 	 */
 	public void flush(long nowMillis) {
-		beginWaitingStarts(nowMillis);
 		this.sessions.sendDueRequests((session) -> status(session, nowMillis), idle(), nowMillis);
 	}
 
@@ -937,10 +873,10 @@
 
 	/**
 	 * Returns whether the supervisor has no runs.
-	 * @return whether no run may be present and no start waits
+	 * @return whether no run may be present
 	 */
 	public boolean idle() {
-		return this.runs.isEmpty() && this.startQueue.isEmpty();
+		return this.runs.isEmpty();
 	}
 
 	private boolean isSilent(long nowMillis) {
@@ -973,9 +909,10 @@
 	/**
 	 * Returns the room that new runs may take. An endpoint on probation after an ejection
 	 * gets one run at a time until a run succeeds.
+	 * @param nowMillis the current time
 	 * @return the room
 	 */
-	private Resources offeredRoom() {
+	private Resources offeredRoom(long nowMillis) {
 		return (this.health.isOnProbation() && !this.runs.isEmpty()) ? Resources.NONE : freeRoom();
 	}
 
@@ -996,8 +933,8 @@
 					lastStartSequence);
 		}
 		return new EndpointStatus(this.endpoint.endpointId(), this.endpoint.service(), state(nowMillis),
-				this.endpoint.capacity(), offeredRoom().minus(this.startQueue.room()), this.endpoint.labels(),
-				this.health.speed(nowMillis), lastStartSequence);
+				this.endpoint.capacity(), offeredRoom(nowMillis), this.endpoint.labels(), this.health.speed(nowMillis),
+				lastStartSequence);
 	}
 
 }
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorTests.java
@@ -59,9 +59,6 @@
 				order("t" + i);
 			}
 			Assert.assertEquals(this.driver.starts.size(), 4);
-			advance(StartQueue.MAX_WAIT_MILLIS);
-			this.supervisor.flush(this.nowMillis);
-			Assert.assertEquals(this.driver.starts.size(), 4);
 			Assert.assertEquals(ends(), List.of(RunEnd.REFUSED));
 		}
 
