Agents: a draining endpoint still drains after a restart of its agent

Cause (the operators' report of a server that had left and was in use again after a restart): the stored checkpoint said "ready" whatever the endpoint had reported, so a restarted agent offered a draining endpoint until its next report, up to a heartbeat later. Conclusion: the window that is left is the time in which the store takes the checkpoint after the report was answered.

--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -248,6 +248,7 @@
 	private boolean hasChangedSinceCheckpoint(long nowMillis) {
 		double change = Math.abs(Math.log(this.health.baselineSpeed() / this.lastCheckpoint.baselineSpeed()));
 		return this.lastCheckpoint.report().bornMillis() != this.endpoint.bornMillis()
+				|| this.lastCheckpoint.report().draining() != this.endpoint.draining()
 				|| (this.health.isBaselineKnown() && change > CHECKPOINT_LOG_SPEED_CHANGE
 						&& nowMillis - this.lastCheckpointMillis > CHECKPOINT_INTERVAL_MILLIS);
 	}
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorEndpointTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorEndpointTests.java
@@ -129,6 +129,36 @@
 	 */
 	public static class Checkpoints extends SupervisorFixture {
 
+		private void reportDraining() {
+			this.supervisor.report(new EndpointReport("endpoint-1", 1, 2, "service", CORE.times(4), List.of(), true),
+					this.nowMillis);
+		}
+
+		@Test
+		void isMadeWhenTheEndpointBeginsToDrain() {
+			attach(1);
+			this.supervisor.checkpoint(this.nowMillis);
+			reportDraining();
+			Assert.assertTrue(this.supervisor.checkpoint(this.nowMillis).orElseThrow().report().draining());
+			Assert.assertTrue(this.supervisor.checkpoint(this.nowMillis).isEmpty());
+		}
+
+		// Guards against a leaving endpoint that gets new runs after a restart of its
+		// agent.
+		@Test
+		void drainingEndpointStillDrainsAfterARestart() {
+			attach(1);
+			reportDraining();
+			EndpointCheckpoint checkpoint = this.supervisor.checkpoint(this.nowMillis).orElseThrow();
+			create();
+			this.supervisor.restore(checkpoint, this.nowMillis);
+			link();
+			observe(1, List.of(), List.of());
+			Assert.assertEquals(state(), EndpointState.DRAINING);
+			order("t1");
+			Assert.assertEquals(ends(), List.of(RunEnd.REFUSED));
+		}
+
 		private void completeRuns(int count, long runMillis) {
 			for (int i = 0; i < count; i++) {
 				running("t" + i);
