Admission: late jobs wait while their answer may be of use

Change: such a job waits, behind all that can be in time, until even an immediate start would end it after three times its objective; then it is refused, truthfully.

--- a/core/src/main/java/org/baobabspar/dispatch/AgentRegistry.java
+++ b/core/src/main/java/org/baobabspar/dispatch/AgentRegistry.java
@@ -23,12 +23,6 @@
  */
 final class AgentRegistry {
 
-	/**
-	 * Time after the arrival of a new agent during which more are expected. The agents of
-	 * a restarted fleet arrive within 250 ms.
-	 */
-	private static final long FLEET_WARM_UP_MILLIS = 300;
-
 	private final DispatchOutbox outbox;
 
 	private final List<AgentView> agents = new ArrayList<>();
@@ -42,8 +36,6 @@
 
 	private long lastLinkNumber;
 
-	private long lastNewAgentMillis = -FLEET_WARM_UP_MILLIS;
-
 	AgentRegistry(DispatchOutbox outbox) {
 		this.outbox = outbox;
 	}
@@ -78,7 +70,7 @@
 		AgentView agent = this.agents.stream()
 			.filter((a) -> a.name.equals(hello.agent()) && a.incarnation == hello.incarnation())
 			.findFirst()
-			.orElseGet(() -> add(hello, nowMillis));
+			.orElseGet(() -> add(hello));
 		if (hello.linkNumber() < agent.linkNumber) {
 			this.outbox.log("agent=" + hello.agent() + " hello=ignored link_number=" + hello.linkNumber() + " newer="
 					+ agent.linkNumber);
@@ -95,8 +87,7 @@
 		stopUnwantedRuns(agent);
 	}
 
-	private AgentView add(SupervisorHello hello, long nowMillis) {
-		this.lastNewAgentMillis = nowMillis;
+	private AgentView add(SupervisorHello hello) {
 		AgentView agent = new AgentView(hello.agent(), hello.incarnation(), hello.domain());
 		this.agents.add(agent);
 		return agent;
@@ -187,13 +178,4 @@
 		return this.agents.stream().anyMatch((a) -> a.usable(nowMillis));
 	}
 
-	/**
-	 * Tells whether a new agent has arrived so recently that more are expected.
-	 * @param nowMillis the current time
-	 * @return whether the fleet may be incomplete
-	 */
-	boolean expectsMore(long nowMillis) {
-		return nowMillis - this.lastNewAgentMillis < FLEET_WARM_UP_MILLIS;
-	}
-
 }
--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -53,6 +53,9 @@
 	 */
 	private static final double LATE_JOB_MAX_UTILIZATION = 0.7;
 
+	/** Multiple of its objective after which the answer of a job is of no use. */
+	private static final double USEFUL_OBJECTIVES = 3;
+
 	private static final long RETRY_AFTER_SECONDS = 1;
 
 	/**
@@ -489,7 +492,7 @@
 			EndpointSelector selector = selectors.computeIfAbsent(job.route.service(),
 					(s) -> new EndpointSelector(this.agents.usable(job.route, nowMillis), this.domain, nowMillis));
 			if (selector.empty()) {
-				declineUnlessInTime(job, nowMillis);
+				declineIfUseless(job, 1, "no_endpoint", nowMillis);
 			}
 			else if (job.mayHaveStarted() || selector.canMeetObjective(job)) {
 				place(job, selector, job.mayHaveStarted(), nowMillis);
@@ -502,9 +505,9 @@
 	}
 
 	/**
-	 * Places a job that will miss its objective if the utilization is low, and declines
-	 * it otherwise. While more agents are expected, the utilization is not meaningful yet
-	 * and the job waits.
+	 * Places a job that will miss its objective if the utilization is low. Otherwise it
+	 * waits for as long as its answer may be of use, since a flood or the return of all
+	 * callers after a restart passes within seconds.
 	 * @param job the job
 	 * @param selector selects the endpoints
 	 * @param nowMillis the current time
@@ -513,8 +516,9 @@
 		if (selector.utilization() <= LATE_JOB_MAX_UTILIZATION) {
 			place(job, selector, true, nowMillis);
 		}
-		else if (!this.agents.expectsMore(nowMillis)) {
-			decline(job, "overload used=" + Math.round(100 * selector.utilization()), nowMillis);
+		else {
+			declineIfUseless(job, selector.highestSpeed(), "overload used=" + Math.round(100 * selector.utilization()),
+					nowMillis);
 		}
 	}
 
@@ -531,16 +535,17 @@
 	}
 
 	/**
-	 * Declines a job for which there is no agent, once it can no longer meet its
-	 * objective. Until then the job waits, since agents reconnect within a second or two
-	 * after a restart of the entry or of the agents themselves.
+	 * Declines a waiting job once its answer would be of no use even if it started now.
 	 * @param job the job
+	 * @param speed speed of the fastest endpoint
+	 * @param reason why the job waits
 	 * @param nowMillis the current time
 	 */
-	private void declineUnlessInTime(DispatchedJob job, long nowMillis) {
-		double totalMillis = nowMillis - job.receivedMillis + job.criticalPathMillis + EndpointSelector.OVERHEAD_MILLIS;
-		if (!job.mayHaveStarted() && totalMillis > job.objectiveMillis()) {
-			decline(job, "no_endpoint", nowMillis);
+	private void declineIfUseless(DispatchedJob job, double speed, String reason, long nowMillis) {
+		double totalMillis = nowMillis - job.receivedMillis + job.criticalPathMillis / speed
+				+ EndpointSelector.OVERHEAD_MILLIS;
+		if (!job.mayHaveStarted() && totalMillis > USEFUL_OBJECTIVES * job.objectiveMillis()) {
+			decline(job, reason, nowMillis);
 		}
 	}
 
--- a/core/src/main/java/org/baobabspar/dispatch/EndpointSelector.java
+++ b/core/src/main/java/org/baobabspar/dispatch/EndpointSelector.java
@@ -73,6 +73,10 @@
 		return this.candidates.isEmpty();
 	}
 
+	double highestSpeed() {
+		return this.highestSpeed;
+	}
+
 	/**
 	 * Selects endpoints for the ready tasks of a job and takes up their free room.
 	 * @param job the job
