--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -73,15 +73,6 @@
 	/** Short enough that an endpoint's slow clock loses less than half of the above. */
 	private static final long SUSPENSION_WINDOW_MILLIS = 1_000;
 
-	/**
-	 * Minimum time between two checkpoints that record a change of the endpoint's speed,
-	 * which limits the calls to the store.
-	 */
-	private static final long CHECKPOINT_INTERVAL_MILLIS = 5_000;
-
-	/** Change of the logarithm of the speed that justifies a checkpoint. */
-	private static final double CHECKPOINT_LOG_SPEED_CHANGE = 0.15;
-
 	private final String agent;
 
 	private final long incarnation;
@@ -119,9 +110,7 @@
 	 */
 	private boolean incarnationAnswers;
 
-	private EndpointCheckpoint lastCheckpoint;
-
-	private long lastCheckpointMillis;
+	private final CheckpointPolicy checkpoints = new CheckpointPolicy();
 
 	/**
 	 * Listed runs that have no owner. Their room is unknown, so the endpoint gets no new
@@ -213,7 +202,7 @@
 	 * @param nowMillis the current time
 	 */
 	public void restore(EndpointCheckpoint checkpoint, long nowMillis) {
-		this.lastCheckpoint = checkpoint;
+		this.checkpoints.restored(checkpoint);
 		EndpointReport report = checkpoint.report();
 		this.log.accept("endpoint=" + report.endpointId() + " born=" + report.bornMillis() + " state=remembered speed="
 				+ checkpoint.baselineSpeed());
@@ -236,21 +225,8 @@
 	 * @return the checkpoint, empty if there is nothing to store
 	 */
 	public Optional<EndpointCheckpoint> checkpoint(long nowMillis) {
-		if (this.endpoint == null || !isReported()
-				|| (this.lastCheckpoint != null && !hasChangedSinceCheckpoint(nowMillis))) {
-			return Optional.empty();
-		}
-		this.lastCheckpoint = new EndpointCheckpoint(this.endpoint, this.health.baselineSpeed());
-		this.lastCheckpointMillis = nowMillis;
-		return Optional.of(this.lastCheckpoint);
-	}
-
-	private boolean hasChangedSinceCheckpoint(long nowMillis) {
-		double change = Math.abs(Math.log(this.health.baselineSpeed() / this.lastCheckpoint.baselineSpeed()));
-		return this.lastCheckpoint.report().bornMillis() != this.endpoint.bornMillis()
-				|| this.lastCheckpoint.report().draining() != this.endpoint.draining()
-				|| (this.health.isBaselineKnown() && change > CHECKPOINT_LOG_SPEED_CHANGE
-						&& nowMillis - this.lastCheckpointMillis > CHECKPOINT_INTERVAL_MILLIS);
+		return (this.endpoint != null && isReported()) ? this.checkpoints.next(this.endpoint, this.health, nowMillis)
+				: Optional.empty();
 	}
 
 	/**
