Links: dial a process that is down at least every 200 ms

Cause: the delay between dials grew to a second, so a process that starts again after one or two seconds, as all do after a loss of power on a quarter of a core, was up for up to 0.6 s before its peers came; after the loss of many entries at once (herd_kill), for up to a second. Before: LinkRetryTests fails (no dial for up to 1,000 ms). After: at most 200 ms. Price: five refused dials a second for each entry that is down and selected.

--- a/wire/src/main/java/org/baobabspar/wire/Links.java
+++ b/wire/src/main/java/org/baobabspar/wire/Links.java
@@ -64,11 +64,15 @@
 	/**
 	 * Initial retry delay, short so that processes that start together connect quickly.
 	 */
-	private static final long MIN_RETRY_MILLIS = 40;
+	static final long MIN_RETRY_MILLIS = 40;
 
 	private static final double RETRY_GROWTH = 1.4;
 
-	private static final long MAX_RETRY_MILLIS = 1_000;
+	/**
+	 * Bounds the time for which a restarted process waits for its peers. A process takes
+	 * a second or more to start, and many start together after a loss of power.
+	 */
+	static final long MAX_RETRY_MILLIS = 200;
 
 	private final FrameCodec codec = new FrameCodec();
 
@@ -184,8 +188,12 @@
 	}
 
 	private void retryLater(String address, LinkAddress target, long retryMillis) {
-		long next = Math.min(MAX_RETRY_MILLIS, Math.round(RETRY_GROWTH * retryMillis));
-		Mono.delay(Duration.ofMillis(retryMillis)).subscribe((t) -> openLink(address, target, next));
+		Mono.delay(Duration.ofMillis(retryMillis))
+			.subscribe((t) -> openLink(address, target, nextRetryMillis(retryMillis)));
+	}
+
+	static long nextRetryMillis(long retryMillis) {
+		return Math.min(MAX_RETRY_MILLIS, Math.round(RETRY_GROWTH * retryMillis));
 	}
 
 	/**
