Selection of endpoints returns Optional; a time ahead of the own clock proves no suspension

From a reading of the diff: the house style asks for Optional results, a constant told a figure, and an odd time in a lease request could have counted as a suspension (timeAheadOfTheOwnClockProvesNothing fails without the bound).

--- a/core/src/main/java/org/baobabspar/dispatch/EndpointSelector.java
+++ b/core/src/main/java/org/baobabspar/dispatch/EndpointSelector.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.baobabspar.fleet.Resources;
 
@@ -36,7 +37,7 @@
 
 	/**
 	 * Factor by which a task may take longer than predicted and its job is still in time,
-	 * on the endpoints that are preferred. One in six tasks exceeds it.
+	 * on the endpoints that are preferred.
 	 */
 	private static final double PREDICTION_MARGIN = 1.5;
 
@@ -88,18 +89,17 @@
 		List<Assignment> assignments = new ArrayList<>();
 		List<Candidate> selected = new ArrayList<>();
 		for (DispatchedTask task : ready) {
-			Candidate candidate = select(task, late, assignments);
-			if (candidate == null) {
+			Optional<Candidate> candidate = select(task, late, assignments);
+			if (candidate.isEmpty()) {
 				break;
 			}
-			selected.add(candidate);
-			assignments.add(new Assignment(task, candidate.agent));
-			candidate.free = candidate.free.minus(task.step.resources());
+			selected.add(candidate.get());
+			assignments.add(new Assignment(task, candidate.get().agent));
+			candidate.get().take(task.step.resources());
 		}
 		if (assignments.size() < ready.size() && !wide(ready) && !job.mayHaveStarted()) {
 			for (int i = 0; i < selected.size(); i++) {
-				Candidate candidate = selected.get(i);
-				candidate.free = candidate.free.plus(assignments.get(i).task().step.resources());
+				selected.get(i).giveBack(assignments.get(i).task().step.resources());
 			}
 			return List.of();
 		}
@@ -119,12 +119,12 @@
 	 * @param task the task
 	 * @param late whether endpoints are accepted on which the job misses its objective
 	 * @param assignments the assignments of the same job so far
-	 * @return the endpoint, {@code null} if the task has to wait
+	 * @return the endpoint, empty if the task has to wait
 	 */
-	private Candidate select(DispatchedTask task, boolean late, List<Assignment> assignments) {
+	private Optional<Candidate> select(DispatchedTask task, boolean late, List<Assignment> assignments) {
 		Resources room = task.step.resources();
 		if (this.unavailableRoom != null && this.unavailableRoom.fitsInto(room)) {
-			return null;
+			return Optional.empty();
 		}
 		double workMillis = task.job.predictedMillis[task.stepIndex];
 		double requiredSpeed = requiredSpeed(task.job, workMillis, 1);
@@ -154,10 +154,8 @@
 		if (!roomFound && assignments.isEmpty()) {
 			this.unavailableRoom = room;
 		}
-		if (safest != null) {
-			return safest;
-		}
-		return (cheapest != null || !late) ? cheapest : fastest;
+		Candidate inTime = (safest != null) ? safest : cheapest;
+		return Optional.ofNullable((inTime != null || !late) ? inTime : fastest);
 	}
 
 	private boolean admits(DispatchedTask task, AgentView agent, List<Assignment> assignments) {
@@ -249,6 +247,14 @@
 			this.free = agent.free();
 		}
 
+		void take(Resources room) {
+			this.free = this.free.minus(room);
+		}
+
+		void giveBack(Resources room) {
+			this.free = this.free.plus(room);
+		}
+
 		/**
 		 * Returns the cost of an endpoint that is fast enough. Slow endpoints are
 		 * preferred, with speeds grouped in broad steps. Within a step, endpoints in the
--- a/core/src/main/java/org/baobabspar/fleet/SuspensionDetector.java
+++ b/core/src/main/java/org/baobabspar/fleet/SuspensionDetector.java
@@ -44,7 +44,8 @@
 	 * Handles a message that carries the monotonic clock of a peer.
 	 * @param name the peer, unique for each of its incarnations
 	 * @param askedMillis the own monotonic clock at a time before which the peer cannot
-	 * have read its clock: when the message was asked for
+	 * have read its clock: when the message was asked for. A later time than the current
+	 * one counts as the current one.
 	 * @param peerMillis the peer's clock when it sent the message
 	 * @param nowMillis the own monotonic clock
 	 * @return how long this VM was suspended at least since an earlier message, empty if
@@ -57,7 +58,7 @@
 		if (suspended) {
 			this.peers.values().forEach((p) -> p.shift(lostMillis));
 		}
-		peer.record(peerMillis - askedMillis, nowMillis, this.windowMillis);
+		peer.record(peerMillis - Math.min(askedMillis, nowMillis), nowMillis, this.windowMillis);
 		return suspended ? OptionalLong.of(lostMillis) : OptionalLong.empty();
 	}
 
--- a/core/src/test/java/org/baobabspar/fleet/SuspensionDetectorTests.java
+++ b/core/src/test/java/org/baobabspar/fleet/SuspensionDetectorTests.java
@@ -84,6 +84,14 @@
 		Assert.assertTrue(observe("a", -400 + 200).isPresent());
 	}
 
+	// Guards against jobs that are declined for an odd time in a message.
+	@Test
+	void timeAheadOfTheOwnClockProvesNothing() {
+		this.detector.observe("c", this.nowMillis + 50_000, this.nowMillis + LEAD_MILLIS, this.nowMillis);
+		this.nowMillis += 10;
+		Assert.assertEquals(observe("c", 0), OptionalLong.empty());
+	}
+
 	@Test
 	void forgottenPeerStartsAnew() {
 		this.detector.forget("a");
