--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -38,6 +38,8 @@
 
 	private final Map<String, Process> processes = new TreeMap<>();
 
+	private final Map<String, LogCollector> collectors = new TreeMap<>();
+
 	final Map<String, Worker> workers = new TreeMap<>();
 
 	final Store store;
@@ -106,10 +108,11 @@
 		String command = matcher
 			.replaceAll((found) -> Matcher.quoteReplacement(this.settings.get(name).getOrDefault(found.group(1), "")));
 		ProcessBuilder builder = new ProcessBuilder(command.split(" ")).directory(this.root.toFile())
-			.redirectErrorStream(true)
-			.redirectOutput(ProcessBuilder.Redirect.appendTo(this.logs.resolve(name + ".log").toFile()));
+			.redirectErrorStream(true);
 		builder.environment().keySet().retainAll(ENVIRONMENT);
-		this.processes.put(name, builder.start());
+		Process process = builder.start();
+		this.processes.put(name, process);
+		this.collectors.put(name, new LogCollector(process.getInputStream(), this.logs.resolve(name + ".log")));
 		this.record.add("platform starts " + name);
 	}
 
@@ -125,6 +128,12 @@
 		new ProcessBuilder("kill", "-" + signal, Long.toString(this.processes.get(name).pid())).start().waitFor();
 	}
 
+	/** Lets the log collector of a machine read on, or not. */
+	void collectLogs(String name, boolean reading) {
+		this.record.add("platform " + (reading ? "reads" : "does not read") + " the log of " + name);
+		this.collectors.get(name).setReading(reading);
+	}
+
 	boolean awaitExit(String name, long millis) throws InterruptedException {
 		boolean ended = this.processes.get(name).waitFor(millis, TimeUnit.MILLISECONDS);
 		this.record.add("process of " + name + (ended ? " ended" : " still runs"));
