Let the stand-ins of the review choose ports outside the range of outgoing connections

Expected: a play beside other plays never meets a port that is taken.

Run: review/run.sh of cases 1 to 4 beside each other, once.

Seen: before, one of three plays of a trial could not run, as a port was taken.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "${BASH_SOURCE[0]}")"
 rm -rf target
 mkdir -p target
-javac -encoding UTF-8 --release 17 --add-modules jdk.httpserver -d target standin/*.java 2>/dev/null || javac -encoding UTF-8 -d target standin/*.java
+javac -encoding UTF-8 -d target standin/*.java
--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -49,8 +49,8 @@
 
 	static Answer read(InputStream in) throws IOException {
 		String status = line(in);
-		if (status.isEmpty()) {
-			return new Answer(0, "closed");
+		if (!status.startsWith("HTTP/1.1 ")) {
+			return new Answer(0, status.isEmpty() ? "closed" : "not HTTP");
 		}
 		int length = -1;
 		boolean chunked = false;
--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -26,6 +28,10 @@
 
 	private static final List<String> ENVIRONMENT = List.of("PATH", "HOME", "JAVA_HOME", "LANG");
 
+	private static final int MIN_PORT = 12_000;
+
+	private static final int MAX_PORT = 28_000;
+
 	private final Path root;
 
 	private final Path logs;
@@ -44,7 +50,7 @@
 
 	final Store store;
 
-	private final int firstPort = freePort();
+	private final int firstPort = freePort("127.0.1.1", "127.0.1.2");
 
 	Fleet(Path root, Record record) throws IOException {
 		this.root = root;
@@ -63,9 +69,29 @@
 		}
 	}
 
-	static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-			return socket.getLocalPort();
+	/**
+	 * Returns a port that is free on all addresses given. It lies below the ports that
+	 * outgoing connections take.
+	 */
+	private static int freePort(String... hosts) throws IOException {
+		while (true) {
+			int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+			boolean free = true;
+			for (String host : hosts) {
+				free &= isFree(host, port);
+			}
+			if (free) {
+				return port;
+			}
+		}
+	}
+
+	private static boolean isFree(String host, int port) throws IOException {
+		try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+			return true;
+		}
+		catch (BindException ex) {
+			return false;
 		}
 	}
 
@@ -75,7 +101,7 @@
 		fields.put("zone", zone);
 		fields.put("ip", ip);
 		fields.put("internal_ports", this.firstPort + "," + (this.firstPort + 15));
-		fields.put("listen_addrs.control", ip + ":" + freePort());
+		fields.put("listen_addrs.control", ip + ":" + freePort(ip));
 		fields.put("platform.address", "127.0.0.1:" + this.store.port());
 		fields.put("bounds.grace_s", "6");
 		this.settings.put(name, fields);
@@ -84,14 +110,14 @@
 
 	void addEntry(String name, String zone, String ip) throws IOException {
 		Map<String, String> fields = machine(name, zone, ip);
-		fields.put("listen_addrs.front", ip + ":" + freePort());
-		fields.put("listen_addrs.ready", ip + ":" + freePort());
+		fields.put("listen_addrs.front", ip + ":" + freePort(ip));
+		fields.put("listen_addrs.ready", ip + ":" + freePort(ip));
 	}
 
 	void addAgent(String name, String zone, String ip, String seeds, long taskMillis) throws IOException {
 		Map<String, String> fields = machine(name, zone, ip);
 		fields.put("seeds", seeds);
-		int port = freePort();
+		int port = freePort(ip);
 		fields.put("app", ip + ":" + port);
 		this.workers.put(name, new Worker("i-" + name, ip, port, SERVICE, zone, fields.get("listen_addrs.control"),
 				taskMillis, this.record));
