Let the scripts of the review tell a failed machine from a broken rule

Run: each of the four scripts once, and once with TROUBLE=0, beside each other.

Seen: 1 with the disruption and 0 without it, four of four.

--- a/review/standin/Case.java
+++ b/review/standin/Case.java
@@ -4,14 +4,15 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A case: a small deployment, what is done to it, and the check. The exit code is 1 if the
- * rule was broken, 0 if it held and 2 if the case could not run.
+ * A case: a small deployment, what is done to it, and the check. The exit code is 10 if the
+ * rule was broken and 0 if it held; any other one means that the case could not run. (A
+ * virtual machine that fails exits with 1.)
  */
 abstract class Case {
 
 	static final int HELD = 0;
 
-	static final int BROKEN = 1;
+	static final int BROKEN = 10;
 
 	static final int NOT_RUN = 2;
 
--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -151,7 +151,7 @@
 	/** Sends a signal to the process of a machine. */
 	void signal(String name, String signal) throws IOException, InterruptedException {
 		this.record.add("platform sends SIG" + signal + " to " + name);
-		new ProcessBuilder("kill", "-" + signal, Long.toString(this.processes.get(name).pid())).start().waitFor();
+		new ProcessBuilder("sh", "-c", "kill -" + signal + " " + this.processes.get(name).pid()).start().waitFor();
 	}
 
 	/** Lets the log collector of a machine read on, or not. */
