Requests that waited unread count as old as they can be

Cause: the timeout of a caller was counted from when its request had been read. A request does not say when it was sent, and the entry did not ask for how long it had not read its sockets. The same fault without a freeze: a body that comes after its head, and a request behind another one on its connection.

Why it works: each iteration of an event loop reads what is there, so a request arrived after the third last tick of the loop. If that is more than 400 ms ago the request counts as that old, and its deadline, which every start is checked against, passes in time. New log field: unread_ms_max.

--- /dev/null
+++ b/core/src/main/java/org/baobabspar/dispatch/RequestArrival.java
@@ -0,0 +1,48 @@
+package org.baobabspar.dispatch;
+
+/**
+ * The times between which a request arrived at this VM. A process that was stopped, or
+ * whose event loop was busy, reads requests that have waited in its sockets for seconds,
+ * and nothing in a request says when it was sent.
+ * <p>
+ * Invariant: the request did not arrive before the earliest time. Immutable and
+ * thread-safe.
+ *
+ * @param earliestMillis the earliest time at which the request may have arrived
+ * @param readMillis when the request was read
+ */
+public record RequestArrival(long earliestMillis, long readMillis) {
+
+	/**
+	 * Longest interval between the two times that still counts as no delay, since the
+	 * earliest time precedes the arrival by up to three ticks of a loop that is not busy.
+	 */
+	private static final long MAX_IGNORED_INTERVAL_MILLIS = 400;
+
+	/** Validates the components. */
+	public RequestArrival {
+		if (earliestMillis > readMillis) {
+			throw new IllegalArgumentException("earliestMillis " + earliestMillis + " > readMillis " + readMillis);
+		}
+	}
+
+	/**
+	 * Returns the longest time for which the caller may have waited until a request was
+	 * read.
+	 * @return the time, 0 if the request was read without a delay that matters
+	 */
+	public long maxUnreadMillis() {
+		long intervalMillis = this.readMillis - this.earliestMillis;
+		return (intervalMillis > MAX_IGNORED_INTERVAL_MILLIS) ? intervalMillis : 0;
+	}
+
+	/**
+	 * Returns the longest time for which the caller may have waited.
+	 * @param nowMillis the current time
+	 * @return the time
+	 */
+	public long maxWaitedMillis(long nowMillis) {
+		return maxUnreadMillis() + nowMillis - this.readMillis;
+	}
+
+}
--- a/daemon/src/main/java/org/baobabspar/daemon/Http.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/Http.java
@@ -2,16 +2,22 @@
 
 import java.io.ByteArrayOutputStream;
 import java.net.BindException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import io.netty.channel.ChannelOption;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.unix.Errors;
+import org.baobabspar.dispatch.RequestArrival;
 import org.baobabspar.model.CodedException;
 import org.baobabspar.model.ResultCode;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -57,6 +63,45 @@
 		return bind(port, () -> HttpServer.create().host(host).port(port).runOn(loops).handle(handler).bindNow());
 	}
 
+	/**
+	 * Starts a server that passes all requests to one handler, together with the time of
+	 * their arrival.
+	 * @param host the local address
+	 * @param port the port, 0 for any
+	 * @param loops the event loops, with one loop for servers
+	 * @param handler handles a request
+	 * @return the server
+	 * @throws CodedException with {@link ResultCode#PORT_IN_USE}
+	 */
+	public static DisposableServer serve(String host, int port, LoopResources loops, RequestHandler handler) {
+		ArrivalClock arrivals = ArrivalClock.start(loops.onServer(LoopResources.DEFAULT_NATIVE).next());
+		return bind(port,
+				() -> HttpServer.create()
+					.host(host)
+					.port(port)
+					.runOn(loops)
+					.option(ChannelOption.RCVBUF_ALLOCATOR, acceptingAllConnections())
+					.doOnChannelInit((observer, channel, remote) -> channel.pipeline()
+						.addAfter(NettyPipeline.HttpCodec, "arrivals", new ArrivalRecorder(arrivals)))
+					.handle((request, response) -> handler.handle(request, response, takeArrival(request)))
+					.bindNow());
+	}
+
+	/**
+	 * Lets a server accept all waiting connections in one iteration of its event loop, as
+	 * {@link ArrivalClock} requires.
+	 * @return the allocator of the server
+	 */
+	private static RecvByteBufAllocator acceptingAllConnections() {
+		return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Integer.MAX_VALUE);
+	}
+
+	private static RequestArrival takeArrival(HttpServerRequest request) {
+		AtomicReference<RequestArrival> arrival = new AtomicReference<>();
+		request.withConnection((c) -> arrival.set(ArrivalRecorder.take(c.channel())));
+		return arrival.get();
+	}
+
 	/**
 	 * Binds a port and reports the port if it cannot be bound.
 	 * @param port the port
@@ -144,4 +189,19 @@
 			.sendByteArray(Mono.just(body));
 	}
 
+	/** Handles the requests of a server. Called on the event loop of the connection. */
+	@FunctionalInterface
+	public interface RequestHandler {
+
+		/**
+		 * Handles a request.
+		 * @param request the request
+		 * @param response its response
+		 * @param arrival when the request arrived
+		 * @return completion of the response
+		 */
+		Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response, RequestArrival arrival);
+
+	}
+
 }
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -12,6 +12,7 @@
 import org.baobabspar.dispatch.DispatchOutbox;
 import org.baobabspar.dispatch.Dispatcher;
 import org.baobabspar.dispatch.JobReply;
+import org.baobabspar.dispatch.RequestArrival;
 import org.baobabspar.fleet.JobSubmission;
 import org.baobabspar.fleet.Route;
 import org.baobabspar.fleet.RoutingTable;
@@ -193,26 +194,35 @@
 	}
 
 	/**
-	 * Submits a job. Cancelling the subscription abandons the job. The time that the job
-	 * waits for the control thread counts as part of the time for which the caller waits.
+	 * Submits a job. Cancelling the subscription abandons the job. All the time for which
+	 * the request may have waited, in a socket or for the control thread, counts as part
+	 * of the time for which the caller waits.
 	 * @param order the job
 	 * @param route the route of the job
+	 * @param arrival when the request arrived
 	 * @param timeoutMillis the time for which the caller waits
 	 * @return the reply
 	 */
-	public Mono<JobReply> submit(JobSubmission order, Route route, long timeoutMillis) {
+	public Mono<JobReply> submit(JobSubmission order, Route route, RequestArrival arrival, long timeoutMillis) {
 		return Mono.create((sink) -> {
-			long receivedMillis = this.control.now();
 			Consumer<JobReply> caller = sink::success;
 			sink.onCancel(() -> this.control.run(() -> this.dispatcher.abandon(order.id(), caller, checkedNow())));
 			this.control.run(() -> {
 				long now = checkedNow();
-				this.dispatcher.submit(order, route, timeoutMillis - (now - receivedMillis), caller, now);
+				logDelay(order, arrival, timeoutMillis);
+				this.dispatcher.submit(order, route, timeoutMillis - arrival.maxWaitedMillis(now), caller, now);
 				schedulePlacement();
 			});
 		});
 	}
 
+	private static void logDelay(JobSubmission order, RequestArrival arrival, long timeoutMillis) {
+		if (arrival.maxUnreadMillis() > 0) {
+			LOG.info("entry: job={} unread_ms_max={} timeout_ms={}", order.id(), arrival.maxUnreadMillis(),
+					timeoutMillis);
+		}
+	}
+
 	/**
 	 * Cancels a job.
 	 * @param id the job
--- /dev/null
+++ b/daemon/src/test/java/org/baobabspar/daemon/ArrivalClockTests.java
@@ -0,0 +1,75 @@
+package org.baobabspar.daemon;
+
+import org.baobabspar.dispatch.RequestArrival;
+import org.testng.Assert;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests of {@link ArrivalClock}.
+ */
+public class ArrivalClockTests {
+
+	private static final long TICK_MILLIS = 50;
+
+	private static final long FREEZE_MILLIS = 5_000;
+
+	private long nowMillis;
+
+	private ArrivalClock clock;
+
+	@BeforeMethod
+	void createClock() {
+		this.nowMillis = 1_000;
+		this.clock = new ArrivalClock(() -> this.nowMillis);
+		for (int i = 0; i < 10; i++) {
+			tickAfter(TICK_MILLIS);
+		}
+	}
+
+	private void tickAfter(long millis) {
+		this.nowMillis += millis;
+		this.clock.tick();
+	}
+
+	private RequestArrival readAfter(long millis) {
+		this.nowMillis += millis;
+		return this.clock.read();
+	}
+
+	@Test
+	void requestOfAnIdleLoopHasNoDelay() {
+		Assert.assertEquals(readAfter(TICK_MILLIS).maxUnreadMillis(), 0);
+	}
+
+	// Guards against a request that is taken for a new one when the process resumes.
+	@Test
+	void requestIsAsOldAsTheFreezeBeforeIt() {
+		Assert.assertTrue(readAfter(FREEZE_MILLIS).maxUnreadMillis() >= FREEZE_MILLIS);
+	}
+
+	// Guards against a tick between the resumption and the read, as it happens if the
+	// connection has to be accepted first.
+	@Test
+	void requestIsAsOldAsTheFreezeBeforeTheLastTicks() {
+		tickAfter(FREEZE_MILLIS);
+		tickAfter(TICK_MILLIS);
+		Assert.assertTrue(readAfter(TICK_MILLIS).maxUnreadMillis() >= FREEZE_MILLIS);
+	}
+
+	@Test
+	void requestsAfterTheFreezeHaveNoDelay() {
+		tickAfter(FREEZE_MILLIS);
+		tickAfter(TICK_MILLIS);
+		tickAfter(TICK_MILLIS);
+		Assert.assertEquals(readAfter(TICK_MILLIS).maxUnreadMillis(), 0);
+	}
+
+	// Guards against a freeze between the read of the head and that of the body.
+	@Test
+	void waitGoesOnAfterTheRead() {
+		RequestArrival arrival = readAfter(TICK_MILLIS);
+		Assert.assertEquals(arrival.maxWaitedMillis(this.nowMillis + FREEZE_MILLIS), FREEZE_MILLIS);
+	}
+
+}
