Agents take the stop of a run from its owner only

Callers saw: a job that was resubmitted at another entry got no answer in time, since the entry that had resumed after a freeze ended its run.

Cause: RunSupervisor.stop compared the key of the run and ignored the link. Two entries number the runs of one task alike, so a stop that crossed with the refusal of its own start ended the run of the other entry.

Why it works: an entry that must end a run always is its owner; stops that a broken link has lost are repeated on the next link, which belongs to the same session.

--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -655,17 +655,25 @@
 	}
 
 	/**
-	 * Handles an order to stop a run.
+	 * Handles an order to stop a run. An order from another entry than the owner means
+	 * another run, although its key is equal: both number the runs of a job that its
+	 * caller submitted to each of them.
 	 * @param link the link on which the order came
 	 * @param key the run
 	 * @param nowMillis the current time
 	 */
 	public void stop(String link, RunKey key, long nowMillis) {
 		SupervisedRun run = this.runs.get(key.task());
-		if (run != null && run.key.equals(key)) {
-			run.excludeFromLaterGrants();
-			stop(run, nowMillis, "asked");
+		if (run == null || !run.key.equals(key)) {
+			return;
+		}
+		if (this.sessions.find(link).filter((session) -> session == run.owner).isEmpty()) {
+			this.log.accept("ignored stop=" + key.task() + "#" + key.number() + " link=" + link + " owner="
+					+ run.owner.incarnationName());
+			return;
 		}
+		run.excludeFromLaterGrants();
+		stop(run, nowMillis, "asked");
 	}
 
 	private void stop(SupervisedRun run, long nowMillis, String reason) {
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorLinksTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorLinksTests.java
@@ -5,6 +5,7 @@
 
 import org.baobabspar.fleet.EndpointState;
 import org.baobabspar.fleet.RunEnd;
+import org.baobabspar.fleet.RunKey;
 import org.baobabspar.message.EntryWelcome;
 import org.baobabspar.message.LeaseRequest;
 import org.testng.Assert;
@@ -40,6 +41,49 @@
 
 	}
 
+	/**
+	 * Orders to stop a run. Entries number the runs of a task independently, so that two
+	 * of them may have ordered runs of a job with equal keys.
+	 */
+	public static class Stops extends SupervisorFixture {
+
+		private static final String OTHER_LINK = "entry-2";
+
+		// Guards against an entry that resumes after a freeze, gives up a job that it
+		// holds and thereby ends the run that another entry has ordered.
+		@Test
+		void ofAnotherEntryLeaveTheRun() {
+			attach(1);
+			link();
+			this.supervisor.welcomed(OTHER_LINK, new EntryWelcome("entry-2", 7, 0, 0), this.nowMillis);
+			RunKey run = running("t1");
+			this.supervisor.stop(OTHER_LINK, run, this.nowMillis);
+			Assert.assertEquals(this.driver.stops, List.of());
+		}
+
+		@Test
+		void ofAnotherIncarnationLeaveTheRun() {
+			attach(1);
+			link();
+			this.supervisor.welcomed(OTHER_LINK, new EntryWelcome("entry-1", 8, 0, 0), this.nowMillis);
+			RunKey run = running("t1");
+			this.supervisor.stop(OTHER_LINK, run, this.nowMillis);
+			Assert.assertEquals(this.driver.stops, List.of());
+		}
+
+		@Test
+		void ofTheOwnerOnANewLinkEndTheRun() {
+			attach(1);
+			link();
+			RunKey run = running("t1");
+			this.supervisor.unlinked(LINK);
+			this.supervisor.welcomed("new link", new EntryWelcome("entry-1", 7, 0, 0), this.nowMillis);
+			this.supervisor.stop("new link", run, this.nowMillis);
+			Assert.assertEquals(this.driver.stops, List.of("t1#1"));
+		}
+
+	}
+
 	/**
 	 * Lease requests, which carry the status of the endpoint.
 	 */
