A job lasts until the latest deadline of its callers

Callers could see: an answer 504 in the middle of their wait, as an older request for the same job, read later, had set the job's deadline anew, also to a time that had passed.

Cause: Dispatcher.rejoin took the deadline of whichever request was read last, and reopened a job for a caller that waits no longer. The time of reading counted as the order of sending.

Run: GivenUpRunsTests.ExpiredJobs, three new tests: all failed before, pass now, as do all of core.

--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -146,21 +146,31 @@
 
 	/**
 	 * Adds a caller to a job that it or another caller submitted before, and reopens the
-	 * job if it was closed.
+	 * job if it was closed. The job lasts until the latest deadline of its callers, whose
+	 * requests may be read in another order than they were sent. A caller that waits no
+	 * longer changes nothing.
 	 * @param job the job
-	 * @param timeoutMillis the time for which the caller waits
+	 * @param timeoutMillis the time for which the caller still waits
 	 * @param caller receives the answer
 	 * @param nowMillis the current time
 	 */
 	private void rejoin(DispatchedJob job, long timeoutMillis, Consumer<JobReply> caller, long nowMillis) {
 		this.outbox.log("job=" + job.order.id() + " answer=rejoined given_up=" + job.closed + " runs="
 				+ job.outstandingRuns + " timeout_ms=" + timeoutMillis);
+		if (timeoutMillis <= 0) {
+			caller.accept(new JobReply(JobOutcome.UNKNOWN, "deadline", RETRY_AFTER_SECONDS));
+			return;
+		}
 		job.origin = "rejoined";
 		job.callers.add(caller);
-		job.deadlineMillis = nowMillis + timeoutMillis;
+		long deadlineMillis = nowMillis + timeoutMillis;
 		if (job.closed) {
 			job.closed = false;
 			job.receivedMillis = nowMillis;
+			job.deadlineMillis = deadlineMillis;
+		}
+		else {
+			job.deadlineMillis = Math.max(job.deadlineMillis, deadlineMillis);
 		}
 	}
 
--- a/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/GivenUpRunsTests.java
@@ -203,6 +203,41 @@
 			Assert.assertEquals(outcomes(), List.of(JobOutcome.REFUSED));
 		}
 
+		/** Guards against a caller that loses its job to an older request for it. */
+		@Test
+		void requestThatWaitedTooLongLeavesTheOpenJob() {
+			RunKey run = startRun("a");
+			this.dispatcher.submit(createJob("j", 1, 100), ROUTE, -1, this.replies::add, this.nowMillis);
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.UNKNOWN));
+			relink("a", run);
+			this.dispatcher.tick(this.nowMillis);
+			endRun("a", run, RunEnd.DONE);
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.UNKNOWN, JobOutcome.COMPLETED));
+		}
+
+		@Test
+		void requestThatWaitedTooLongDoesNotReopenTheJob() {
+			RunKey run = startRun("a");
+			this.dispatcher.declineAll("test", this.nowMillis);
+			this.replies.clear();
+			this.dispatcher.submit(createJob("j", 1, 100), ROUTE, 0, this.replies::add, this.nowMillis);
+			endRun("a", run, RunEnd.STOPPED);
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.UNKNOWN));
+			Assert.assertEquals(startedRuns("a"), List.of(run));
+		}
+
+		/** Guards against a deadline that an older request for the job brings forward. */
+		@Test
+		void jobLastsUntilTheLatestDeadlineOfItsCallers() {
+			RunKey run = startRun("a");
+			this.dispatcher.submit(createJob("j", 1, 100), ROUTE, 500, this.replies::add, this.nowMillis);
+			this.nowMillis += 9_000;
+			relink("a", run);
+			this.dispatcher.tick(this.nowMillis);
+			endRun("a", run, RunEnd.DONE);
+			Assert.assertEquals(outcomes(), List.of(JobOutcome.COMPLETED, JobOutcome.COMPLETED));
+		}
+
 		/** Guards against a start after the deadline when the next tick is late. */
 		@Test
 		void startsNothingAfterDeadline() {
