Requests from before a suspension of the VM count as older by it

Cause: the monotonic clock of a suspended VM stands still, so the ticks of the event loop show no delay. The entry gave up the jobs that it held when a lease request showed the suspension, and took the requests that it read afterwards for new ones.

Evidence: by reading; a VM can't be suspended by ordinary means here. Unit tests only.

Why it works: a request that may have arrived before the suspension was found counts as older by all the time that was lost. Before that, its starts carry an agent's clock from before and are refused.

Run: DispatcherTests.Suspensions, two new tests of the new method; all tests of core and daemon pass.

--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -76,6 +76,8 @@
 	private final SuspensionDetector suspensions = new SuspensionDetector(MIN_SUSPENSION_MILLIS,
 			SUSPENSION_WINDOW_MILLIS);
 
+	private final SuspensionHistory suspensionHistory = new SuspensionHistory();
+
 	/**
 	 * Creates the dispatcher of an entry.
 	 * @param domain the failure domain of the entry
@@ -358,10 +360,21 @@
 		this.suspensions.observe(agent.incarnationName(), request.entryClockMillis(), request.sentMillis(), nowMillis)
 			.ifPresent((lostMillis) -> {
 				this.outbox.log("suspended lost_ms=" + lostMillis + " agent=" + agent.name);
+				this.suspensionHistory.add(lostMillis, nowMillis);
 				declineAll("entry_suspended", nowMillis);
 			});
 	}
 
+	/**
+	 * Returns for how much longer the caller of a request may have waited than this VM's
+	 * monotonic clock shows.
+	 * @param earliestMillis the earliest time at which the request may have arrived
+	 * @return for how long this VM was suspended since, as far as is known
+	 */
+	public long suspendedMillisSince(long earliestMillis) {
+		return this.suspensionHistory.lostMillisSince(earliestMillis);
+	}
+
 	/**
 	 * Reconciles the outstanding tasks of an agent with the runs that it listed on a new
 	 * link. A run that is not listed and has no reported end was never started, because
--- a/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/DispatcherTests.java
@@ -45,6 +45,27 @@
 			Assert.assertEquals(stopCount("a"), 1);
 		}
 
+		// Guards against a request that waited in a socket while this VM was suspended,
+		// and is read only after the suspension has been found.
+		@Test
+		void requestsFromBeforeTheyWereFoundAreOlderByThem() {
+			linkAgent("a", 8, 1);
+			requestLease("a", this.nowMillis + 2_400);
+			Assert.assertEquals(this.dispatcher.suspendedMillisSince(this.nowMillis - 150), 2_400);
+			Assert.assertEquals(this.dispatcher.suspendedMillisSince(this.nowMillis), 2_400);
+			Assert.assertEquals(this.dispatcher.suspendedMillisSince(this.nowMillis + 1), 0);
+		}
+
+		@Test
+		void requestsFromBeforeSeveralAreOlderByAllOfThem() {
+			linkAgent("a", 8, 1);
+			requestLease("a", this.nowMillis + 2_400);
+			this.nowMillis += 100;
+			requestLease("a", this.nowMillis + 3_400);
+			Assert.assertEquals(this.dispatcher.suspendedMillisSince(this.nowMillis - 150), 3_400);
+			Assert.assertEquals(this.dispatcher.suspendedMillisSince(this.nowMillis - 50), 1_000);
+		}
+
 		@Test
 		void requestThatWasDelayedEndsNoJob() {
 			linkAgent("a", 8, 1);
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -209,17 +209,20 @@
 			sink.onCancel(() -> this.control.run(() -> this.dispatcher.abandon(order.id(), caller, checkedNow())));
 			this.control.run(() -> {
 				long now = checkedNow();
-				logDelay(order, arrival, timeoutMillis);
-				this.dispatcher.submit(order, route, timeoutMillis - arrival.maxWaitedMillis(now), caller, now);
+				long suspendedMillis = this.dispatcher.suspendedMillisSince(arrival.earliestMillis());
+				logDelay(order, arrival, suspendedMillis, timeoutMillis);
+				long waitedMillis = arrival.maxWaitedMillis(now) + suspendedMillis;
+				this.dispatcher.submit(order, route, timeoutMillis - waitedMillis, caller, now);
 				schedulePlacement();
 			});
 		});
 	}
 
-	private static void logDelay(JobSubmission order, RequestArrival arrival, long timeoutMillis) {
-		if (arrival.maxUnreadMillis() > 0) {
-			LOG.info("entry: job={} unread_ms_max={} timeout_ms={}", order.id(), arrival.maxUnreadMillis(),
-					timeoutMillis);
+	private static void logDelay(JobSubmission order, RequestArrival arrival, long suspendedMillis,
+			long timeoutMillis) {
+		if (arrival.maxUnreadMillis() > 0 || suspendedMillis > 0) {
+			LOG.info("entry: job={} unread_ms_max={} suspended_ms={} timeout_ms={}", order.id(),
+					arrival.maxUnreadMillis(), suspendedMillis, timeoutMillis);
 		}
 	}
 
