Logging holds no monitor during a write to standard output

Cause: the log thread wrote while it held the monitor of the rate limit, which each thread takes that logs. A full pipe so blocked the control thread and the event loop. The exit waited for the reader without a bound in the same way.

--- a/daemon/src/main/java/org/baobabspar/node/AsyncLogStream.java
+++ b/daemon/src/main/java/org/baobabspar/node/AsyncLogStream.java
@@ -155,16 +155,36 @@
 		}
 	}
 
+	/**
+	 * Writes all queued lines before the process exits.
+	 * @param maxMillis the longest time to wait for the reader of standard output
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void finish(long maxMillis) throws InterruptedException {
+		Thread writer = new Thread(this::drain, "log-finish");
+		writer.setDaemon(true);
+		writer.start();
+		writer.join(maxMillis);
+	}
+
 	/** Writes all queued lines on the calling thread. */
-	public void drain() {
+	void drain() {
 		for (byte[] line = this.queue.poll(); line != null; line = this.queue.poll()) {
 			writeWithDropNotice(line);
 		}
 	}
 
-	private synchronized void writeOut(byte[] line) throws IOException {
-		this.target.write(line);
-		this.target.flush();
+	/**
+	 * Writes a line. May block for as long as nobody reads standard output, so it must
+	 * not hold a monitor that a thread needs to log.
+	 * @param line the line
+	 * @throws IOException if standard output is closed
+	 */
+	private void writeOut(byte[] line) throws IOException {
+		synchronized (this.target) {
+			this.target.write(line);
+			this.target.flush();
+		}
 	}
 
 	private void writeWithDropNotice(byte[] line) {
--- a/daemon/src/test/java/org/baobabspar/node/AsyncLogStreamTests.java
+++ b/daemon/src/test/java/org/baobabspar/node/AsyncLogStreamTests.java
@@ -1,11 +1,20 @@
 package org.baobabspar.node;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 
 import org.testng.Assert;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -71,4 +80,66 @@
 		Assert.assertEquals(count, AsyncLogStream.BURST_LINES + seconds * AsyncLogStream.LINES_PER_SECOND, 2.0);
 	}
 
+	/**
+	 * A reader of standard output that has stopped reading, so that a write never
+	 * returns.
+	 */
+	public static class StoppedReaders {
+
+		private static final int TIMEOUT_SECONDS = 60;
+
+		private final CountDownLatch writing = new CountDownLatch(1);
+
+		private final CountDownLatch reading = new CountDownLatch(1);
+
+		private final AsyncLogStream stream = new AsyncLogStream(new OutputStream() {
+
+			@Override
+			public void write(int b) throws IOException {
+				StoppedReaders.this.writing.countDown();
+				try {
+					StoppedReaders.this.reading.await();
+				}
+				catch (InterruptedException ex) {
+					throw new InterruptedIOException();
+				}
+			}
+
+		}, () -> 0, () -> 0);
+
+		private final PrintStream out = new PrintStream(this.stream, false, StandardCharsets.UTF_8);
+
+		private final ExecutorService threads = Executors.newCachedThreadPool();
+
+		private Void finish() throws InterruptedException {
+			this.stream.finish(10);
+			return null;
+		}
+
+		@BeforeClass
+		void blockWriter() throws InterruptedException {
+			this.out.println("INFO line");
+			this.threads.submit(this.stream::drain);
+			this.writing.await();
+		}
+
+		@AfterClass
+		void stopThreads() {
+			this.threads.shutdownNow();
+		}
+
+		// Guards against an entry that answers nothing while its log is not read.
+		@Test
+		void doNotBlockThreadsThatLog() throws Exception {
+			this.threads.submit(() -> this.out.println("INFO line")).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+		}
+
+		// Guards against a process that cannot exit while its log is not read.
+		@Test
+		void doNotBlockTheExit() throws Exception {
+			this.threads.submit(this::finish).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+		}
+
+	}
+
 }
