A late deregistration lasts until the next report of the endpoint

Operators could see: an endpoint that had started again under its id got no work for as long as it lived, as the deregistration of its predecessor had been held up and arrived late.

Cause: a deregistration names no incarnation, and RunSupervisor ignored all further reports after it.

Why it works: an endpoint that ends sends no report after its deregistration, and reports that were sent before it carry no higher sequence number.

--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -264,14 +264,16 @@
 	}
 
 	/**
-	 * Handles the deregistration of the endpoint, which drains from then on.
+	 * Handles the deregistration of the endpoint, which drains until its next report. A
+	 * deregistration does not name the incarnation, and may arrive when the next one has
+	 * attached already; an incarnation that ends sends no further report.
 	 * @param endpointId the endpoint
 	 * @param nowMillis the current time
 	 */
 	public void deregistered(String endpointId, long nowMillis) {
 		if (this.endpoint != null && this.endpoint.endpointId().equals(endpointId)) {
 			this.log.accept("endpoint=" + endpointId + " state=left");
-			this.endpoint = new EndpointReport(endpointId, this.endpoint.bornMillis(), Long.MAX_VALUE,
+			this.endpoint = new EndpointReport(endpointId, this.endpoint.bornMillis(), this.endpoint.sequence(),
 					this.endpoint.service(), this.endpoint.capacity(), this.endpoint.labels(), true);
 			this.sessions.markStateChanged();
 		}
--- a/core/src/test/java/org/baobabspar/supervise/RunSupervisorEndpointTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/RunSupervisorEndpointTests.java
@@ -210,4 +210,42 @@
 
 	}
 
+	/**
+	 * Deregistrations, which name an endpoint and no incarnation of it.
+	 */
+	public static class Deregistrations extends SupervisorFixture {
+
+		private void reportSequence(long sequence) {
+			report("endpoint-1", 1, sequence);
+		}
+
+		@Test
+		void endTheUseOfTheEndpoint() {
+			attach(1);
+			this.supervisor.deregistered("endpoint-1", this.nowMillis);
+			Assert.assertEquals(state(), EndpointState.DRAINING);
+		}
+
+		// Guards against an endpoint that gets no work for as long as it lives, because
+		// the deregistration of the incarnation before it arrived late.
+		@Test
+		void thatComeLateEndWithTheNextReport() {
+			attach(1);
+			this.supervisor.deregistered("endpoint-1", this.nowMillis);
+			reportSequence(2);
+			Assert.assertEquals(state(), EndpointState.READY);
+		}
+
+		@Test
+		void outlastReportsThatWereSentBefore() {
+			attach(1);
+			reportSequence(7);
+			this.supervisor.deregistered("endpoint-1", this.nowMillis);
+			reportSequence(6);
+			reportSequence(7);
+			Assert.assertEquals(state(), EndpointState.DRAINING);
+		}
+
+	}
+
 }
