--- a/core/src/main/java/org/baobabspar/dispatch/SuspensionHistory.java
+++ b/core/src/main/java/org/baobabspar/dispatch/SuspensionHistory.java
@@ -23,9 +23,9 @@
 	}
 
 	/**
-	 * Returns for how long this VM was suspended at most since a time.
+	 * Returns the sum of the suspensions that were found since a time.
 	 * @param earliestMillis the time
-	 * @return the sum of the suspensions that were found at that time or later
+	 * @return the time that the monotonic clock lost, as far as it is known
 	 */
 	long lostMillisSince(long earliestMillis) {
 		return this.suspensions.stream()
