A job is submitted once all that arrived with its request has been read

Cause: the request had its effect before the end of its connection, which was there too, was read.

Cuts of callers keep the order of what they hold up now; before, a close could overtake its request or pass through a second cut.

--- a/daemon/src/main/java/org/baobabspar/daemon/ArrivalClock.java
+++ b/core/src/main/java/org/baobabspar/dispatch/ArrivalClock.java
@@ -1,13 +1,9 @@
-package org.baobabspar.daemon;
+package org.baobabspar.dispatch;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import io.netty.channel.EventLoop;
-import org.baobabspar.dispatch.RequestArrival;
-
 /**
  * Bounds the time at which the input that an event loop reads arrived. The loop ticks at
  * an interval, and each iteration of the loop reads what is there before it ticks. A
@@ -24,7 +20,7 @@
 public final class ArrivalClock {
 
 	/** Interval between ticks; three of them are far less than a delay that matters. */
-	private static final long TICK_MILLIS = 50;
+	public static final long TICK_MILLIS = 50;
 
 	private static final int TICKS_UNTIL_READ = 3;
 
@@ -33,25 +29,19 @@
 	/** Times of the last ticks, the oldest first. */
 	private final Deque<Long> tickMillis = new ArrayDeque<>();
 
-	ArrivalClock(LongSupplier clock) {
+	/**
+	 * Creates the clock of an event loop, before the loop reads anything.
+	 * @param clock the monotonic clock, in milliseconds
+	 */
+	public ArrivalClock(LongSupplier clock) {
 		this.clock = clock;
 		for (int i = 0; i < TICKS_UNTIL_READ; i++) {
 			this.tickMillis.add(clock.getAsLong());
 		}
 	}
 
-	/**
-	 * Starts the clock of an event loop, before the loop serves any connection.
-	 * @param loop the event loop
-	 * @return the clock
-	 */
-	public static ArrivalClock start(EventLoop loop) {
-		ArrivalClock arrivals = new ArrivalClock(Control::monotonicMillis);
-		loop.scheduleWithFixedDelay(arrivals::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
-		return arrivals;
-	}
-
-	void tick() {
+	/** Records that the event loop has read what was there. */
+	public void tick() {
 		this.tickMillis.remove();
 		this.tickMillis.add(this.clock.getAsLong());
 	}
@@ -60,7 +50,7 @@
 	 * Returns when a request arrived that is being read.
 	 * @return the bounds of its arrival
 	 */
-	RequestArrival read() {
+	public RequestArrival read() {
 		return new RequestArrival(this.tickMillis.element(), this.clock.getAsLong());
 	}
 
--- a/daemon/src/test/java/org/baobabspar/daemon/ArrivalClockTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/ArrivalClockTests.java
@@ -1,6 +1,5 @@
-package org.baobabspar.daemon;
+package org.baobabspar.dispatch;
 
-import org.baobabspar.dispatch.RequestArrival;
 import org.testng.Assert;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -10,8 +9,6 @@
  */
 public class ArrivalClockTests {
 
-	private static final long TICK_MILLIS = 50;
-
 	private static final long FREEZE_MILLIS = 5_000;
 
 	private long nowMillis;
@@ -23,7 +20,7 @@
 		this.nowMillis = 1_000;
 		this.clock = new ArrivalClock(() -> this.nowMillis);
 		for (int i = 0; i < 10; i++) {
-			tickAfter(TICK_MILLIS);
+			tickAfter(ArrivalClock.TICK_MILLIS);
 		}
 	}
 
@@ -39,7 +36,7 @@
 
 	@Test
 	void requestOfAnIdleLoopHasNoDelay() {
-		Assert.assertEquals(readAfter(TICK_MILLIS).maxUnreadMillis(), 0);
+		Assert.assertEquals(readAfter(ArrivalClock.TICK_MILLIS).maxUnreadMillis(), 0);
 	}
 
 	// Guards against a request that is taken for a new one when the process resumes.
@@ -53,22 +50,22 @@
 	@Test
 	void requestIsAsOldAsTheFreezeBeforeTheLastTicks() {
 		tickAfter(FREEZE_MILLIS);
-		tickAfter(TICK_MILLIS);
-		Assert.assertTrue(readAfter(TICK_MILLIS).maxUnreadMillis() >= FREEZE_MILLIS);
+		tickAfter(ArrivalClock.TICK_MILLIS);
+		Assert.assertTrue(readAfter(ArrivalClock.TICK_MILLIS).maxUnreadMillis() >= FREEZE_MILLIS);
 	}
 
 	@Test
 	void requestsAfterTheFreezeHaveNoDelay() {
 		tickAfter(FREEZE_MILLIS);
-		tickAfter(TICK_MILLIS);
-		tickAfter(TICK_MILLIS);
-		Assert.assertEquals(readAfter(TICK_MILLIS).maxUnreadMillis(), 0);
+		tickAfter(ArrivalClock.TICK_MILLIS);
+		tickAfter(ArrivalClock.TICK_MILLIS);
+		Assert.assertEquals(readAfter(ArrivalClock.TICK_MILLIS).maxUnreadMillis(), 0);
 	}
 
 	// Guards against a freeze between the read of the head and that of the body.
 	@Test
 	void waitGoesOnAfterTheRead() {
-		RequestArrival arrival = readAfter(TICK_MILLIS);
+		RequestArrival arrival = readAfter(ArrivalClock.TICK_MILLIS);
 		Assert.assertEquals(arrival.maxWaitedMillis(this.nowMillis + FREEZE_MILLIS), FREEZE_MILLIS);
 	}
 
--- a/core/src/test/java/org/baobabspar/dispatch/CallerConnection.java
+++ b/core/src/test/java/org/baobabspar/dispatch/CallerConnection.java
@@ -14,6 +14,9 @@
 
 	final JobSubmission order;
 
+	/** The time for which the caller waits for an answer. */
+	final long timeoutMillis;
+
 	private final SimulatedEntry entry;
 
 	private final Consumer<JobReply> onReply;
@@ -24,8 +27,12 @@
 
 	private boolean reset;
 
-	CallerConnection(JobSubmission order, SimulatedEntry entry, Consumer<JobReply> onReply, Runnable onBreak) {
+	private boolean closeRead;
+
+	CallerConnection(JobSubmission order, long timeoutMillis, SimulatedEntry entry, Consumer<JobReply> onReply,
+			Runnable onBreak) {
 		this.order = order;
+		this.timeoutMillis = timeoutMillis;
 		this.entry = entry;
 		this.onReply = onReply;
 		this.onBreak = onBreak;
@@ -59,6 +66,15 @@
 		return this.reset;
 	}
 
+	/** Records that the entry has read that the caller has closed the connection. */
+	void readClose() {
+		this.closeRead = true;
+	}
+
+	boolean closeWasRead() {
+		return this.closeRead;
+	}
+
 	boolean open() {
 		return this.open;
 	}
--- a/core/src/test/java/org/baobabspar/dispatch/FaultMix.java
+++ b/core/src/test/java/org/baobabspar/dispatch/FaultMix.java
@@ -68,17 +68,33 @@
 			FleetFault.STALLED_TRANSMISSION_WITH_LOSS, FleetFault.LINK_RESET, FleetFault.LINK_CUT,
 			FleetFault.CALLER_RESET, FleetFault.AGENT_KILL),
 
-	/** All faults but those of the time of day and suspensions. */
+	/** Entries that stand still for longer than their callers wait, with losses. */
+	ENTRY_PAUSES(FleetFault.ENTRY_PAUSE_WITH_LATE_CLOSES, FleetFault.ENTRY_PAUSE_WITH_LATE_CLOSES,
+			FleetFault.ENTRY_PAUSE_WITH_LATE_CLOSES, FleetFault.LINK_CUT, FleetFault.AGENT_KILL),
+
+	/** Requests that the network holds up for longer than their callers wait. */
+	HELD_UP_REQUESTS(FleetFault.ONE_WAY_CALLER_CUT, FleetFault.ONE_WAY_CALLER_CUT, FleetFault.ONE_WAY_CALLER_CUT,
+			FleetFault.LINK_CUT, FleetFault.AGENT_KILL),
+
+	/** All faults but those of the time of day and suspensions, and the last one. */
 	ALL_BUT_CLOCKS(Stream.of(FleetFault.values())
-		.filter((fault) -> fault != FleetFault.CLOCK_STEP && fault != FleetFault.CLOCK_STEP_SERIES
-				&& fault != FleetFault.CLOCK_STEP_THEN_LOSS && fault != FleetFault.ENTRY_CLOCK_STEPS_DURING_SILENCE
+		.filter((fault) -> fault != FleetFault.ENTRY_PAUSE_WITH_LATE_CLOSES && fault != FleetFault.CLOCK_STEP
+				&& fault != FleetFault.CLOCK_STEP_SERIES && fault != FleetFault.CLOCK_STEP_THEN_LOSS
+				&& fault != FleetFault.ENTRY_CLOCK_STEPS_DURING_SILENCE
 				&& fault != FleetFault.AGENT_CLOCK_STEP_BEFORE_LOSS && fault != FleetFault.SUSPENSION
 				&& fault != FleetFault.SUSPENSION_WITH_LOSS && fault != FleetFault.SHORT_SUSPENSIONS
 				&& fault != FleetFault.SUSPENSION_WITH_REBIRTH)
 		.toArray(FleetFault[]::new)),
 
-	/** All faults. */
-	ALL(FleetFault.values());
+	/** All faults but the last one, which matters to impatient callers only. */
+	ALL(Stream.of(FleetFault.values())
+		.filter((fault) -> fault != FleetFault.ENTRY_PAUSE_WITH_LATE_CLOSES)
+		.toArray(FleetFault[]::new));
+
+	private static final long IMPATIENT_CALLER_TIMEOUT_MILLIS = 1_500;
+
+	/** Longer than all faults but a few last. */
+	private static final long PATIENT_CALLER_TIMEOUT_MILLIS = 6_000;
 
 	private final List<FleetFault> faults;
 
@@ -95,6 +111,11 @@
 		return this != NONE && this != BASIC;
 	}
 
+	long callerTimeoutMillis() {
+		return (this == ENTRY_PAUSES || this == HELD_UP_REQUESTS) ? IMPATIENT_CALLER_TIMEOUT_MILLIS
+				: PATIENT_CALLER_TIMEOUT_MILLIS;
+	}
+
 	List<FleetFault> faults() {
 		return this.faults;
 	}
--- a/core/src/test/java/org/baobabspar/dispatch/FleetFault.java
+++ b/core/src/test/java/org/baobabspar/dispatch/FleetFault.java
@@ -344,6 +344,24 @@
 			target.simulation.scheduleAfter(target.between(0, 600),
 					() -> process.freezeAtNextTransmission(frozenMillis));
 		}
+	},
+
+	/**
+	 * Freezes or suspends an entry while requests arrive, and delays the ends of their
+	 * connections until after it has resumed, so that it does not see that callers leave.
+	 */
+	ENTRY_PAUSE_WITH_LATE_CLOSES {
+		@Override
+		void inject(FaultTarget target) {
+			long pauseMillis = target.between(500, 5_000);
+			target.entry.delayCloses(pauseMillis + target.between(0, 3_000));
+			if (target.simulation.detailRandom.nextBoolean()) {
+				target.entry.process.freeze(pauseMillis);
+			}
+			else {
+				target.entry.process.suspend(pauseMillis);
+			}
+		}
 	};
 
 	private static final FleetFault[] ENTRY_LOSSES = { ENTRY_KILL, ENTRY_FREEZE, LINK_CUT, ENTRY_CUT };
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedCaller.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedCaller.java
@@ -23,6 +23,8 @@
 
 	final JobSubmission order;
 
+	private final long timeoutMillis;
+
 	private final Simulation simulation;
 
 	private final List<SimulatedEntry> entries;
@@ -49,12 +51,13 @@
 
 	private CallerConnection connection;
 
-	SimulatedCaller(Simulation simulation, List<SimulatedEntry> entries, GuaranteeChecker checker,
-			JobSubmission order) {
+	SimulatedCaller(Simulation simulation, List<SimulatedEntry> entries, GuaranteeChecker checker, JobSubmission order,
+			long timeoutMillis) {
 		this.simulation = simulation;
 		this.entries = entries;
 		this.checker = checker;
 		this.order = order;
+		this.timeoutMillis = timeoutMillis;
 	}
 
 	void send() {
@@ -69,11 +72,11 @@
 			this.simulation.scheduleAfter(RETRY_MILLIS, this::send);
 			return;
 		}
-		CallerConnection newConnection = new CallerConnection(this.order, entry, this::handleReply,
+		CallerConnection newConnection = new CallerConnection(this.order, this.timeoutMillis, entry, this::handleReply,
 				() -> sendAgain("break"));
 		this.connection = newConnection;
 		entry.submit(newConnection);
-		this.simulation.scheduleAfter(SimulatedEntry.CALLER_TIMEOUT_MILLIS, () -> {
+		this.simulation.scheduleAfter(this.timeoutMillis, () -> {
 			if (newConnection.open()) {
 				newConnection.close();
 				sendAgain("timeout");
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedEntry.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedEntry.java
@@ -23,9 +23,6 @@
  */
 final class SimulatedEntry implements DispatchOutbox {
 
-	/** Time for which callers wait for an answer. */
-	static final long CALLER_TIMEOUT_MILLIS = 6_000;
-
 	private static final Route ROUTE = new Route("route", "host", "/", "service", 0, 3, 1.6, 60, "");
 
 	/** An entry whose last tick is longer ago declines all its jobs. */
@@ -50,16 +47,23 @@
 	/** Connections of callers that wait for an answer. */
 	private final Set<CallerConnection> callers = new LinkedHashSet<>();
 
+	/** Events from callers that are held up by a cut, in their order. */
+	private final List<Runnable> heldUpEvents = new ArrayList<>();
+
 	private long fromCallersCutUntilMillis;
 
 	private long toCallersCutUntilMillis;
 
+	private long closesDelayedUntilMillis;
+
 	private Dispatcher dispatcher;
 
 	private long incarnation;
 
 	private long lastTickMillis;
 
+	private ArrivalClock arrivals;
+
 	SimulatedEntry(Simulation simulation, int number) {
 		this.simulation = simulation;
 		this.number = number;
@@ -73,6 +77,13 @@
 		this.dispatcher = new Dispatcher("domain", this);
 		this.lastTickMillis = this.process.now();
 		this.process.repeat(TICK_MILLIS, this::tick);
+		this.arrivals = new ArrivalClock(this.process::now);
+		this.process.repeat(ArrivalClock.TICK_MILLIS, this::tickArrivals);
+	}
+
+	private long tickArrivals() {
+		this.arrivals.tick();
+		return ArrivalClock.TICK_MILLIS;
 	}
 
 	private long tick() {
@@ -104,6 +115,7 @@
 			return;
 		}
 		this.process.kill();
+		this.heldUpEvents.clear();
 		List.copyOf(this.connections.values()).forEach(SimulatedLink.Connection::closeByEntry);
 		this.connections.clear();
 		breakCallers();
@@ -120,6 +132,15 @@
 		this.toCallersCutUntilMillis = Math.max(this.toCallersCutUntilMillis, nowMillis + toCallersMillis);
 	}
 
+	/**
+	 * Lets connections that callers close from now on seem open to this entry.
+	 * @param millis for how long
+	 */
+	void delayCloses(long millis) {
+		this.simulation.trace("fault", "entry=" + this.number + " closes delayed millis=" + millis);
+		this.closesDelayedUntilMillis = Math.max(this.closesDelayedUntilMillis, this.simulation.nowMillis() + millis);
+	}
+
 	/** Resets the connections of all callers, which both sides notice at once. */
 	void resetCallers() {
 		this.simulation.trace("fault", "entry=" + this.number + " reset callers=" + this.callers.size());
@@ -138,18 +159,34 @@
 		this.callers.clear();
 	}
 
+	/**
+	 * Submits a job, once everything has been read that arrived with its request.
+	 * @param connection the connection of the caller
+	 */
 	void submit(CallerConnection connection) {
 		this.callers.add(connection);
 		arrive(() -> {
-			if (connection.wasReset()) {
-				return;
-			}
-			long nowMillis = checkedNow();
-			this.dispatcher.submit(connection.order, ROUTE, CALLER_TIMEOUT_MILLIS, connection, nowMillis);
-			this.dispatcher.place(nowMillis);
+			RequestArrival arrival = this.arrivals.read();
+			int generation = this.process.generation();
+			this.simulation.scheduleAfter(0, () -> {
+				if (generation == this.process.generation()) {
+					this.process.deliver(() -> submit(connection, arrival));
+				}
+			});
 		});
 	}
 
+	private void submit(CallerConnection connection, RequestArrival arrival) {
+		if (connection.wasReset() || connection.closeWasRead()) {
+			return;
+		}
+		long nowMillis = checkedNow();
+		long waitedMillis = arrival.maxWaitedMillis(nowMillis)
+				+ this.dispatcher.suspendedMillisSince(arrival.earliestMillis());
+		this.dispatcher.submit(connection.order, ROUTE, connection.timeoutMillis - waitedMillis, connection, nowMillis);
+		this.dispatcher.place(nowMillis);
+	}
+
 	void reply(CallerConnection connection, JobReply reply) {
 		this.process.transmit(() -> {
 			if (this.callers.remove(connection)) {
@@ -165,24 +202,37 @@
 	 */
 	void disconnect(CallerConnection connection) {
 		this.callers.remove(connection);
-		arrive(() -> abandon(connection));
+		int generation = this.process.generation();
+		this.simulation.schedule(this.closesDelayedUntilMillis, () -> {
+			if (generation == this.process.generation()) {
+				arrive(() -> abandon(connection));
+			}
+		});
 	}
 
 	private void abandon(CallerConnection connection) {
+		connection.readClose();
 		this.dispatcher.abandon(connection.order.id(), connection, checkedNow());
 	}
 
+	/**
+	 * Delivers an event from a caller, in the order of the events, once the path from the
+	 * callers is not cut.
+	 * @param event handles the event
+	 */
 	private void arrive(Runnable event) {
-		int generation = this.process.generation();
-		if (this.simulation.nowMillis() >= this.fromCallersCutUntilMillis) {
-			this.process.deliver(event);
+		this.heldUpEvents.add(event);
+		deliverHeldUpEvents();
+	}
+
+	private void deliverHeldUpEvents() {
+		if (this.simulation.nowMillis() < this.fromCallersCutUntilMillis) {
+			this.simulation.schedule(this.fromCallersCutUntilMillis, this::deliverHeldUpEvents);
 			return;
 		}
-		this.simulation.schedule(this.fromCallersCutUntilMillis, () -> {
-			if (generation == this.process.generation()) {
-				this.process.deliver(event);
-			}
-		});
+		List<Runnable> events = List.copyOf(this.heldUpEvents);
+		this.heldUpEvents.clear();
+		events.forEach(this.process::deliver);
 	}
 
 	// Agents
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedFleet.java
@@ -92,7 +92,8 @@
 		}
 		JobSubmission order = new JobSubmission(id, "payload",
 				List.of(new Step(tasks, new Resources(1_000, 64, 0), workMillis, List.of(), "", "", 0)));
-		SimulatedCaller caller = new SimulatedCaller(this.simulation, this.entries, this.checker, order);
+		SimulatedCaller caller = new SimulatedCaller(this.simulation, this.entries, this.checker, order,
+				this.mix.callerTimeoutMillis());
 		this.callers.add(caller);
 		this.checker.add(caller);
 		caller.send();
--- a/daemon/src/main/java/org/baobabspar/daemon/ArrivalRecorder.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/ArrivalRecorder.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpRequest;
+import org.baobabspar.dispatch.ArrivalClock;
 import org.baobabspar.dispatch.RequestArrival;
 
 /**
--- a/daemon/src/main/java/org/baobabspar/daemon/Http.java
+++ b/daemon/src/main/java/org/baobabspar/daemon/Http.java
@@ -2,15 +2,18 @@
 
 import java.io.ByteArrayOutputStream;
 import java.net.BindException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.unix.Errors;
+import org.baobabspar.dispatch.ArrivalClock;
 import org.baobabspar.dispatch.RequestArrival;
 import org.baobabspar.model.CodedException;
 import org.baobabspar.model.ResultCode;
@@ -74,7 +77,7 @@
 	 * @throws CodedException with {@link ResultCode#PORT_IN_USE}
 	 */
 	public static DisposableServer serve(String host, int port, LoopResources loops, RequestHandler handler) {
-		ArrivalClock arrivals = ArrivalClock.start(loops.onServer(LoopResources.DEFAULT_NATIVE).next());
+		ArrivalClock arrivals = startArrivalClock(loops.onServer(LoopResources.DEFAULT_NATIVE).next());
 		return bind(port,
 				() -> HttpServer.create()
 					.host(host)
@@ -87,6 +90,13 @@
 					.bindNow());
 	}
 
+	private static ArrivalClock startArrivalClock(EventLoop loop) {
+		ArrivalClock arrivals = new ArrivalClock(Control::monotonicMillis);
+		loop.scheduleWithFixedDelay(arrivals::tick, ArrivalClock.TICK_MILLIS, ArrivalClock.TICK_MILLIS,
+				TimeUnit.MILLISECONDS);
+		return arrivals;
+	}
+
 	/**
 	 * Lets a server accept all waiting connections in one iteration of its event loop, as
 	 * {@link ArrivalClock} requires.
@@ -154,6 +164,22 @@
 		buffer.writeBytes(chunk);
 	}
 
+	/**
+	 * Waits until the event loop has read what has arrived by now. If that includes the
+	 * end of the connection, the handling of the request is cancelled instead. A caller
+	 * that has left is so noticed before its request has an effect, also if both arrive
+	 * at the same time, after the network or this process was held up.
+	 * @param request the request, which has been read
+	 * @return completion
+	 */
+	public static Mono<Void> readArrived(HttpServerRequest request) {
+		return Mono.create((sink) -> request.withConnection((c) -> {
+			EventLoop loop = c.channel().eventLoop();
+			// A task that is scheduled by a task waits until the loop has read again.
+			loop.execute(() -> loop.schedule(() -> sink.success(), 0, TimeUnit.NANOSECONDS));
+		}));
+	}
+
 	/**
 	 * Sends a value as JSON.
 	 * @param response the response
