--- a/core/src/test/java/org/baobabspar/dispatch/FaultMix.java
+++ b/core/src/test/java/org/baobabspar/dispatch/FaultMix.java
@@ -76,7 +76,10 @@
 	HELD_UP_REQUESTS(FleetFault.ONE_WAY_CALLER_CUT, FleetFault.ONE_WAY_CALLER_CUT, FleetFault.ONE_WAY_CALLER_CUT,
 			FleetFault.LINK_CUT, FleetFault.AGENT_KILL),
 
-	/** All faults but those of the time of day and suspensions, and the last one. */
+	/**
+	 * All faults but those of the time of day, suspensions, and pauses that only matter
+	 * to impatient callers.
+	 */
 	ALL_BUT_CLOCKS(Stream.of(FleetFault.values())
 		.filter((fault) -> fault != FleetFault.ENTRY_PAUSE_WITH_LATE_CLOSES && fault != FleetFault.CLOCK_STEP
 				&& fault != FleetFault.CLOCK_STEP_SERIES && fault != FleetFault.CLOCK_STEP_THEN_LOSS
@@ -86,7 +89,7 @@
 				&& fault != FleetFault.SUSPENSION_WITH_REBIRTH)
 		.toArray(FleetFault[]::new)),
 
-	/** All faults but the last one, which matters to impatient callers only. */
+	/** All faults but pauses that only matter to impatient callers. */
 	ALL(Stream.of(FleetFault.values())
 		.filter((fault) -> fault != FleetFault.ENTRY_PAUSE_WITH_LATE_CLOSES)
 		.toArray(FleetFault[]::new));
@@ -111,6 +114,10 @@
 		return this != NONE && this != BASIC;
 	}
 
+	/**
+	 * Returns the time for which callers wait for an answer.
+	 * @return the time
+	 */
 	long callerTimeoutMillis() {
 		return (this == ENTRY_PAUSES || this == HELD_UP_REQUESTS) ? IMPATIENT_CALLER_TIMEOUT_MILLIS
 				: PATIENT_CALLER_TIMEOUT_MILLIS;
