--- a/standin/src/test/java/org/baobabspar/standin/ProcessTests.java
+++ b/standin/src/test/java/org/baobabspar/standin/ProcessTests.java
@@ -3,6 +3,8 @@
 import java.io.File;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -98,20 +100,29 @@
 	}
 
 	private Process start(String... args) throws IOException {
+		return start(ProcessBuilder.Redirect.DISCARD, args);
+	}
+
+	private Process start(ProcessBuilder.Redirect output, String... args) throws IOException {
 		List<String> command = new ArrayList<>(
 				List.of(System.getProperty("java.home") + File.separator + "bin" + File.separator + "java", "-Xmx64m",
 						"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
 						"org.baobabspar.daemon.Main"));
 		command.addAll(List.of(args));
-		Process process = new ProcessBuilder(command).redirectErrorStream(true)
-			.redirectOutput(ProcessBuilder.Redirect.DISCARD)
-			.start();
+		Process process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output).start();
 		this.processes.add(process);
 		return process;
 	}
 
 	private void command(String... args) throws IOException {
-		Assert.assertEquals(join(start(args)), 0);
+		Path output = Files.createTempFile("command", ".log");
+		try {
+			int status = join(start(ProcessBuilder.Redirect.to(output.toFile()), args));
+			Assert.assertEquals(status, 0, List.of(args) + " wrote: " + Files.readString(output));
+		}
+		finally {
+			Files.delete(output);
+		}
 	}
 
 	private static int join(Process process) {
