--- /dev/null
+++ b/review/standin-2/Case.java
@@ -0,0 +1,54 @@
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** Runs a case and turns its outcome into the exit status of the process. Stateless. */
+final class Case {
+
+	private static final int HELD = 0;
+
+	private static final int BROKEN = 1;
+
+	private static final int COULD_NOT_RUN = 2;
+
+	private Case() {
+	}
+
+	/**
+	 * Runs a case and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+	 * @param recordFile where the record is written
+	 * @param deployment creates the deployment
+	 * @param check plays the case
+	 */
+	static void main(String recordFile, DeploymentFactory deployment, Check check) throws IOException {
+		Record record = new Record(Path.of(recordFile));
+		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+		int status = COULD_NOT_RUN;
+		try (Deployment started = deployment.create(record)) {
+			Runtime.getRuntime().addShutdownHook(new Thread(started::killAll));
+			if (started.start()) {
+				status = check.holds(started, trouble) ? HELD : BROKEN;
+			}
+		}
+		catch (Exception ex) {
+			record.line("could not run: " + ex);
+		}
+		record.line("exit=" + status);
+		System.exit(status);
+	}
+
+	/** Creates the deployment of a case. */
+	interface DeploymentFactory {
+
+		Deployment create(Record record) throws Exception;
+
+	}
+
+	/** Plays a case. */
+	interface Check {
+
+		/** Returns whether the rule held, or throws if the case could not run. */
+		boolean holds(Deployment deployment, boolean trouble) throws Exception;
+
+	}
+
+}
