--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,17 +21,18 @@
 
 	static final String PREFIX = "/desk/";
 
-	private static final String CONFIG = "{\"version\":7,\"routes\":[{\"name\":\"r-desk\",\"hostname\":\"desk.example\","
-			+ "\"path_prefix\":\"" + PREFIX + "\",\"type\":\"non_idempotent\",\"timeout_ms\":5000,"
-			+ "\"target_latency_ms\":60,\"priority\":0,\"backend\":\"desk\",\"max_attempts\":4,\"slack_factor\":1.6}],"
-			+ "\"services\":[{\"name\":\"desk\",\"health_path\":\"/healthz\",\"max_conns\":64,\"protocol\":\"h1\","
-			+ "\"tls\":false,\"rejects_overload\":false,\"standby\":false}],\"limits\":{\"max_header_bytes\":16384,"
-			+ "\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+	static final String GRACE_SECONDS = "6";
+
+	static final String SERVICE = "desk";
+
+	static final String OTHER_SERVICE = "desk-b";
 
 	private static final long READY_MILLIS = 30_000;
 
 	final Record record;
 
+	private final String graceSeconds;
+
 	final Store store = new Store();
 
 	final List<Program> entries = new ArrayList<>();
@@ -46,8 +48,24 @@
 	private final Path logs = Files.createTempDirectory("review-logs-");
 
 	Deployment(int entryCount, int agentCount, Record record) throws IOException {
+		this(entryCount, agentCount, record, GRACE_SECONDS);
+	}
+
+	Deployment(int entryCount, int agentCount, Record record, String graceSeconds) throws IOException {
+		this(entryCount, Collections.nCopies(agentCount, SERVICE), record, graceSeconds);
+	}
+
+	/**
+	 * Creates a deployment.
+	 * @param entryCount the number of entries
+	 * @param services the service of each worker
+	 * @param record the record of the case
+	 * @param graceSeconds the setting bounds.grace_s
+	 */
+	Deployment(int entryCount, List<String> services, Record record, String graceSeconds) throws IOException {
 		this.record = record;
-		this.store.put("keyed.op", "config", CONFIG);
+		this.graceSeconds = graceSeconds;
+		putConfig(7, SERVICE);
 		int linkPort = freePort("127.0.0.1");
 		List<String> seeds = new ArrayList<>();
 		for (int i = 0; i < entryCount; i++) {
@@ -64,9 +82,9 @@
 			this.readies.add(ready);
 			this.entries.add(new Program("entry", settings, this.logs));
 		}
-		for (int i = 0; i < agentCount; i++) {
+		for (int i = 0; i < services.size(); i++) {
 			String ip = "127.0.2." + (i + 1);
-			Worker worker = new Worker("i-" + (i + 1), ip, 32_000, record);
+			Worker worker = new Worker("i-" + (i + 1), services.get(i), ip, 32_000, record);
 			String control = ip + ":" + freePort(ip);
 			Map<String, String> settings = common("side-" + (i + 1), ip, linkPort, control);
 			settings.put("app", worker.address());
@@ -78,6 +96,22 @@
 		}
 	}
 
+	/** Writes a desired state whose only queue is run by a service. */
+	void putConfig(int version, String service) {
+		this.store.put("keyed.op", "config", "{\"version\":" + version
+				+ ",\"routes\":[{\"name\":\"r-desk\",\"hostname\":\"desk.example\",\"path_prefix\":\"" + PREFIX
+				+ "\",\"type\":\"non_idempotent\",\"timeout_ms\":5000,\"target_latency_ms\":60,\"priority\":0,"
+				+ "\"backend\":\"" + service + "\",\"max_attempts\":4,\"slack_factor\":1.6}],\"services\":["
+				+ serviceEntry(SERVICE) + "," + serviceEntry(OTHER_SERVICE)
+				+ "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,"
+				+ "\"idle_timeout_ms\":15000}}");
+	}
+
+	private static String serviceEntry(String name) {
+		return "{\"name\":\"" + name + "\",\"health_path\":\"/healthz\",\"max_conns\":64,\"protocol\":\"h1\","
+				+ "\"tls\":false,\"rejects_overload\":false,\"standby\":false}";
+	}
+
 	private Map<String, String> common(String node, String ip, int linkPort, String control) {
 		Map<String, String> settings = new LinkedHashMap<>();
 		settings.put("node", node);
@@ -86,7 +120,7 @@
 		settings.put("internal_ports", linkPort + "," + (linkPort + 15));
 		settings.put("listen_addrs.control", control);
 		settings.put("platform.address", this.store.address());
-		settings.put("bounds.grace_s", "6");
+		settings.put("bounds.grace_s", this.graceSeconds);
 		return settings;
 	}
 
--- a/review/standin-2/Program.java
+++ b/review/standin-2/Program.java
@@ -80,6 +80,11 @@
 		}
 	}
 
+	/** Sends a signal to the process, which was started here. */
+	synchronized void signal(String signal) throws IOException, InterruptedException {
+		new ProcessBuilder("kill", "-" + signal, Long.toString(this.process.pid())).start().waitFor();
+	}
+
 	synchronized void kill() {
 		if (this.process != null) {
 			this.process.destroyForcibly();
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -29,6 +29,8 @@
 
 	private final String id;
 
+	private final String service;
+
 	private final Record record;
 
 	private final long cpu;
@@ -62,8 +64,11 @@
 
 	private long sequence;
 
-	Worker(String id, String host, long cpu, Record record) throws IOException {
+	private volatile boolean dark;
+
+	Worker(String id, String service, String host, long cpu, Record record) throws IOException {
 		this.id = id;
+		this.service = service;
 		this.cpu = cpu;
 		this.record = record;
 		this.server = HttpServer.create(new InetSocketAddress(host, 0), 64);
@@ -81,16 +86,39 @@
 		return this.server.getAddress().getHostString() + ":" + this.server.getAddress().getPort();
 	}
 
+	/** Returns how many starts this worker has carried out. */
+	synchronized int startCount() {
+		return this.starts.size();
+	}
+
 	/** Returns the jobs of which a task has started. */
 	synchronized List<String> startedJobs() {
 		return this.starts.stream().map((task) -> task.substring(0, task.indexOf('.'))).distinct().toList();
 	}
 
+	/** Crashes for good and answers nothing any more, like a machine without power. */
+	synchronized void goDark() {
+		this.dark = true;
+		this.running.clear();
+		this.record.line("worker=" + this.id + " is lost for good");
+		notifyAll();
+	}
+
+	/** Waits for ever if this worker is lost, so that its caller gets no answer. */
+	private synchronized void holdBackIfDark() throws InterruptedException {
+		while (this.dark) {
+			wait();
+		}
+	}
+
 	void reportTo(String controlAddress) {
 		this.timer.scheduleAtFixedRate(() -> report(controlAddress), 100, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void report(String controlAddress) {
+		if (this.dark) {
+			return;
+		}
 		try {
 			HttpURLConnection call = (HttpURLConnection) new URL(
 					"http://" + controlAddress + "/instances/" + this.id + "/heartbeat")
@@ -102,7 +130,7 @@
 			call.setDoOutput(true);
 			String body;
 			synchronized (this) {
-				body = "{\"backend\":\"desk\",\"address\":\"" + address()
+				body = "{\"backend\":\"" + this.service + "\",\"address\":\"" + address()
 						+ "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,"
 						+ "\"capacity\":{\"cpu\":" + this.cpu + ",\"mem_mb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],"
 						+ "\"clock_ms\":" + clockMillis() + ",\"born\":" + this.bornMillis + ",\"seq\":"
@@ -144,6 +172,7 @@
 	private void handle(HttpExchange exchange) throws IOException {
 		try {
 			String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+			holdBackIfDark();
 			if (!this.id.equals(exchange.getRequestHeaders().getFirst("Target-Instance"))) {
 				answer(exchange, 421, "");
 				return;
@@ -247,6 +276,7 @@
 						+ String.join(",", this.ends.stream().limit(500).map(End::row).toList()) + "]}";
 			}
 		}
+		holdBackIfDark();
 		answer(exchange, (answer != null) ? 200 : 409, (answer != null) ? answer : common() + ",\"reason\":\"fence\"}");
 	}
 
