--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -45,6 +45,9 @@
 
 	final List<Worker> workers = new ArrayList<>();
 
+	/** The addresses at which the agents take the reports of their workers. */
+	final List<String> controls = new ArrayList<>();
+
 	private final Path logs = Files.createTempDirectory("review-logs-");
 
 	Deployment(int entryCount, int agentCount, Record record) throws IOException {
@@ -91,6 +94,7 @@
 			settings.put("seeds", String.join(",", seeds.subList(0, Math.min(3, seeds.size()))));
 			settings.put("limits.max_fds", "4096");
 			worker.reportTo(control);
+			this.controls.add(control);
 			this.workers.add(worker);
 			this.agents.add(new Program("agent", settings, this.logs));
 		}
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -58,6 +58,8 @@
 
 	private long lastEnd;
 
+	private long lastStartMillis = -1;
+
 	private long fence;
 
 	private long leaseUntilMillis;
@@ -66,6 +68,10 @@
 
 	private volatile boolean dark;
 
+	private volatile boolean draining;
+
+	private volatile long drainConfirmedMillis = -1;
+
 	Worker(String id, String service, String host, long cpu, Record record) throws IOException {
 		this.id = id;
 		this.service = service;
@@ -96,6 +102,26 @@
 		return this.starts.stream().map((task) -> task.substring(0, task.indexOf('.'))).distinct().toList();
 	}
 
+	/** Says from now on that it drains, and goes on serving. */
+	void drain() {
+		this.draining = true;
+	}
+
+	/** Returns when the agent first confirmed that this worker drains, -1 before that. */
+	long drainConfirmedMillis() {
+		return this.drainConfirmedMillis;
+	}
+
+	/** Returns the start of this life as its reports give it. */
+	long bornMillis() {
+		return this.bornMillis;
+	}
+
+	/** Returns when the last start was carried out, -1 before the first one. */
+	synchronized long lastStartMillis() {
+		return this.lastStartMillis;
+	}
+
 	/** Crashes for good and answers nothing any more, like a machine without power. */
 	synchronized void goDark() {
 		this.dark = true;
@@ -128,16 +154,24 @@
 			call.setRequestMethod("POST");
 			call.setRequestProperty("Content-Type", "application/json");
 			call.setDoOutput(true);
+			boolean draining = this.draining;
 			String body;
 			synchronized (this) {
 				body = "{\"backend\":\"" + this.service + "\",\"address\":\"" + address()
-						+ "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,"
+						+ "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,\"state\":\"" + (draining ? "draining" : "ready")
+						+ "\",\"cold_left_ms\":0," + (draining ? "\"remaining_ms\":2000," : "")
 						+ "\"capacity\":{\"cpu\":" + this.cpu + ",\"mem_mb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],"
 						+ "\"clock_ms\":" + clockMillis() + ",\"born\":" + this.bornMillis + ",\"seq\":"
 						+ (++this.sequence) + "}";
 			}
 			call.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
-			call.getResponseCode();
+			int status = call.getResponseCode();
+			if (draining) {
+				this.record.line("worker=" + this.id + " says draining, answered " + status);
+			}
+			if (draining && status / 100 == 2 && this.drainConfirmedMillis < 0) {
+				this.drainConfirmedMillis = this.record.millis();
+			}
 			call.disconnect();
 		}
 		catch (IOException ex) {
@@ -223,6 +257,7 @@
 		long workMillis = Long.parseLong(Fields.text(body, "spec").split(" ")[0]);
 		this.running.put(task, new Run(number, clockMillis(), clockMillis() + workMillis));
 		this.starts.add(task);
+		this.lastStartMillis = this.record.millis();
 		this.record.line("worker=" + this.id + " start task=" + task + " run=" + number);
 		return "";
 	}
