--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -56,6 +56,8 @@
 
 	private final List<String> starts = new ArrayList<>();
 
+	private final List<Period> periods = new ArrayList<>();
+
 	private long lastEnd;
 
 	private long lastStartMillis = -1;
@@ -198,11 +200,35 @@
 	private void end(String task, String how) {
 		Run run = this.running.remove(task);
 		this.usedRuns.merge(task, run.number, Math::max);
+		this.periods.add(new Period(this.id, task, run.startNanos, System.nanoTime()));
 		this.ends.add(new End(++this.lastEnd, task, run.number, how));
 		this.record.line("worker=" + this.id + " end task=" + task + " run=" + run.number + " how=" + how);
 		notifyAll();
 	}
 
+	/** Counts the tasks of which two runs were present at the same time on different workers. */
+	static int overlaps(List<Worker> workers, Record record) {
+		Map<String, List<Period>> periods = new LinkedHashMap<>();
+		for (Worker worker : workers) {
+			synchronized (worker) {
+				worker.periods.forEach((p) -> periods.computeIfAbsent(p.task, (t) -> new ArrayList<>()).add(p));
+			}
+		}
+		int overlaps = 0;
+		for (List<Period> ofTask : periods.values()) {
+			for (Period first : ofTask) {
+				for (Period second : ofTask) {
+					if (first.startNanos < second.startNanos && second.startNanos < first.endNanos) {
+						record.line("two runs of " + first.task + ": on " + first.worker + " and " + second.worker + " for "
+								+ (Math.min(first.endNanos, second.endNanos) - second.startNanos) / 1_000 + " us");
+						overlaps++;
+					}
+				}
+			}
+		}
+		return overlaps;
+	}
+
 	private void handle(HttpExchange exchange) throws IOException {
 		try {
 			String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
@@ -342,6 +368,8 @@
 
 		private final long number;
 
+		private final long startNanos = System.nanoTime();
+
 		private final long startMillis;
 
 		private final long untilMillis;
@@ -381,4 +409,8 @@
 
 	}
 
+	/** When a run was present, by the clock of this virtual machine. */
+	private record Period(String worker, String task, long startNanos, long endNanos) {
+	}
+
 }
