--- a/review/standin-2/CancelWave.java
+++ b/review/standin-2/CancelWave.java
@@ -42,17 +42,17 @@
 	}
 
 	public static void main(String[] args) throws IOException {
-		Case.main(args[0], (record) -> new Deployment(3, 3, record),
-				(deployment, trouble) -> new CancelWave(deployment).holds(trouble));
+		Case.main(args, (record) -> new Deployment(3, 3, record),
+				(deployment, trouble) -> new CancelWave(deployment).holds(trouble, !"cancels=0".equals(args[2])));
 	}
 
-	private boolean holds(boolean trouble) throws Exception {
+	private boolean holds(boolean trouble, boolean cancels) throws Exception {
 		int before = serve("before");
 		if (before * 4 < MEASURED_REQUESTS) {
 			throw new IOException("less than a quarter is served before the disruption");
 		}
 		if (trouble) {
-			if (!"0".equals(System.getenv("CANCELS"))) {
+			if (cancels) {
 				cancelMany();
 			}
 			this.record.line("jobs cancelled and confirmed: " + this.confirmed.get());
--- a/review/standin-2/Case.java
+++ b/review/standin-2/Case.java
@@ -15,13 +15,17 @@
 
 	/**
 	 * Runs a case and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
-	 * @param recordFile where the record is written
+	 * @param args the file of the record, and {@code disruption=1}, or {@code disruption=0} to leave it out
 	 * @param deployment creates the deployment
 	 * @param check plays the case
 	 */
-	static void main(String recordFile, DeploymentFactory deployment, Check check) throws IOException {
-		Record record = new Record(Path.of(recordFile));
-		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+	static void main(String[] args, DeploymentFactory deployment, Check check) throws IOException {
+		Record record = new Record(Path.of(args[0]));
+		boolean trouble = args[1].equals("disruption=1");
+		if (!trouble && !args[1].equals("disruption=0")) {
+			throw new IllegalArgumentException(args[1]);
+		}
+		record.line(args[1]);
 		int status = COULD_NOT_RUN;
 		try (Deployment started = deployment.create(record)) {
 			Runtime.getRuntime().addShutdownHook(new Thread(started::killAll));
--- a/review/standin-2/FractionalGrace.java
+++ b/review/standin-2/FractionalGrace.java
@@ -22,7 +22,7 @@
 	}
 
 	public static void main(String[] args) throws IOException {
-		Case.main(args[0], (record) -> new Deployment(2, 2, record, "5.5"), FractionalGrace::holds);
+		Case.main(args, (record) -> new Deployment(2, 2, record, "5.5"), FractionalGrace::holds);
 	}
 
 	private static boolean holds(Deployment deployment, boolean trouble) throws Exception {
@@ -32,7 +32,7 @@
 		List<Future<Boolean>> requests = new ArrayList<>();
 		for (int i = 0; i < CLIENTS; i++) {
 			String job = String.format("%016x", 0xace_0000L + i);
-			requests.add(beside.submit(() -> isLost(deployment, job)));
+			requests.add(beside.submit(() -> isLost(deployment, job, trouble)));
 		}
 		Thread.sleep(300);
 		if (trouble) {
@@ -48,12 +48,15 @@
 		return lost == 0;
 	}
 
-	private static boolean isLost(Deployment deployment, String job) {
+	private static boolean isLost(Deployment deployment, String job, boolean trouble) {
 		Record record = deployment.record;
 		try (Client client = new Client(deployment.fronts.get(0), 8_000)) {
 			record.line("job=" + job + " sent");
 			Client.Answer answer = client.post(Deployment.PREFIX + job, Deployment.job(WORK_MILLIS, 1), 5_000);
 			record.line("job=" + job + " answered " + answer);
+			if (!trouble && answer.status() != 200) {
+				throw new IllegalStateException("a request is not served without the disruption");
+			}
 			return false;
 		}
 		catch (IOException ex) {
--- a/review/standin-2/HeldUpRequests.java
+++ b/review/standin-2/HeldUpRequests.java
@@ -2,6 +2,7 @@
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * An entry is cut off from its clients for some seconds. Clients that have sent their jobs
@@ -29,13 +30,16 @@
 
 	private final Record record;
 
+	/** Jobs that were answered with success at the first try. */
+	private final AtomicInteger completed = new AtomicInteger();
+
 	private HeldUpRequests(Deployment deployment) {
 		this.deployment = deployment;
 		this.record = deployment.record;
 	}
 
 	public static void main(String[] args) throws IOException {
-		Case.main(args[0], (record) -> new Deployment(2, 6, record),
+		Case.main(args, (record) -> new Deployment(2, 6, record),
 				(deployment, trouble) -> new HeldUpRequests(deployment).holds(trouble));
 	}
 
@@ -69,6 +73,9 @@
 			thread.join();
 		}
 		Thread.sleep(1_000);
+		if (!trouble && this.completed.get() < CLIENTS) {
+			throw new IOException("not all requests are served without the disruption");
+		}
 		int overlaps = Worker.overlaps(this.deployment.workers, this.record);
 		this.record.line("tasks with two runs at the same time: " + overlaps);
 		return overlaps == 0;
@@ -80,7 +87,9 @@
 		try {
 			try (client) {
 				this.record.line("job=" + job + " sent through entry-1");
-				this.record.line("job=" + job + " answered " + client.post(Deployment.PREFIX + job, body, TIMEOUT_MILLIS));
+				Client.Answer answer = client.post(Deployment.PREFIX + job, body, TIMEOUT_MILLIS);
+				this.record.line("job=" + job + " answered " + answer);
+				this.completed.addAndGet((answer.status() == 200) ? 1 : 0);
 				return;
 			}
 			catch (SocketTimeoutException ex) {
--- a/review/standin-2/OddPing.java
+++ b/review/standin-2/OddPing.java
@@ -34,7 +34,7 @@
 	}
 
 	public static void main(String[] args) throws IOException {
-		Case.main(args[0], (record) -> new Deployment(1, 2, record),
+		Case.main(args, (record) -> new Deployment(1, 2, record),
 				(deployment, trouble) -> new OddPing(deployment).holds(trouble));
 	}
 
@@ -57,6 +57,9 @@
 		this.record.line("requests sent=" + this.sent + " served=" + this.served);
 		this.record.line("draining confirmed at " + confirmedMillis + ", last start on the worker at "
 				+ worker.lastStartMillis() + ", after the confirmation: " + lateMillis + " ms");
+		if (!trouble && this.served < this.sent) {
+			throw new IOException("not all requests are served without the disruption");
+		}
 		return lateMillis <= DRAIN_MILLIS;
 	}
 
--- a/review/standin-2/SlowBodyAtStop.java
+++ b/review/standin-2/SlowBodyAtStop.java
@@ -33,7 +33,7 @@
 	}
 
 	public static void main(String[] args) throws IOException {
-		Case.main(args[0], (record) -> new Deployment(3, 2, record),
+		Case.main(args, (record) -> new Deployment(3, 2, record),
 				(deployment, trouble) -> new SlowBodyAtStop(deployment, trouble).holds());
 	}
 
@@ -86,6 +86,9 @@
 			this.record.line("client=" + number + " job=" + job + " last byte sent");
 			Client.Answer answer = client.answer();
 			this.record.line("client=" + number + " job=" + job + " answered " + answer);
+			if (!this.trouble && answer.status() != 200) {
+				throw new IllegalStateException("a request is not served without the disruption");
+			}
 			return false;
 		}
 		catch (IOException ex) {
