Claim a job whose request may be old before it starts

What callers saw: nothing wrong, but their tasks ran twice at the same time. A cut held a request up until its client had given up and had submitted the job to another entry; the first entry then took it for a new one.

Cause: nothing in a request tells its age, and each entry answered for the fleet from its own memory. The refusal job_present, which proves that another entry has the job, was taken for a full endpoint, so the job was placed again at once until an agent without the run took it.

Change: PathSilence bounds when a request was sent by what the entry read from all clients. What may be old is claimed at the other entries through the agents (JobClaim), which remember the claim and claim the job in turn before they start it; the entry of the older request stops its runs first. JOB_PRESENT is an end of its own, after which the job is claimed too. RelayRounds is shared with the relay of cancellations, RecentJobs with the cancelled jobs.

Why it works: whichever of the two requests is read first, the entry that reads the other one hears of it before it starts, and no answer counts that was given before a newer attempt was read.

--- a/core/src/main/java/org/baobabspar/dispatch/AgentRegistry.java
+++ b/core/src/main/java/org/baobabspar/dispatch/AgentRegistry.java
@@ -125,6 +125,14 @@
 		return List.copyOf(this.agentsByLink.keySet());
 	}
 
+	/**
+	 * Returns whether each agent that may have runs is linked.
+	 * @return whether no agent is known that has lost its link
+	 */
+	boolean allLinked() {
+		return this.agents.size() == this.agentsByLink.size();
+	}
+
 	/**
 	 * Unregisters a link that was closed. The agent stays known, since its runs go on
 	 * until their lease expires and it may open a new link before that.
--- a/core/src/main/java/org/baobabspar/dispatch/ArrivalClock.java
+++ b/core/src/main/java/org/baobabspar/dispatch/ArrivalClock.java
@@ -4,14 +4,14 @@
 import java.util.function.LongSupplier;
 
 /**
- * Bounds the time at which the input that an event loop reads arrived. The loop ticks at
- * an interval, and each iteration of the loop reads what is there before it ticks. A
- * request that is there at a tick is read in the next iteration, or in the one after it
- * if its connection has to be accepted first. So a request that is read now arrived after
- * the third last tick. Example: the loop ticks at 0, 50 and 100 ms, is stopped at 120 ms
- * and resumes at 5,120 ms. The requests that it finds arrived after 0 ms, whether it
- * reads them in its first iteration, or in its second, which may follow a tick at 5,120
- * ms.
+ * Bounds the time at which the input that an event loop reads arrived, and with
+ * {@link PathSilence} the time at which it was sent. The loop ticks at an interval, and
+ * each iteration of the loop reads what is there before it ticks. A request that is there
+ * at a tick is read in the next iteration, or in the one after it if its connection has
+ * to be accepted first. So a request that is read now arrived after the third last tick.
+ * Example: the loop ticks at 0, 50 and 100 ms, is stopped at 120 ms and resumes at 5,120
+ * ms. The requests that it finds arrived after 0 ms, whether it reads them in its first
+ * iteration, or in its second, which may follow a tick at 5,120 ms.
  * <p>
  * After a stop many requests wait, and a loop that takes long for each reads them in many
  * iterations. Soon after a stop a tick therefore counts only if nothing was read since
@@ -35,6 +35,8 @@
 
 	private final LongSupplier clock;
 
+	private final PathSilence silence;
+
 	private long backlogUntilMillis = Long.MIN_VALUE;
 
 	private boolean readSinceTick;
@@ -48,7 +50,9 @@
 	 */
 	public ArrivalClock(LongSupplier clock) {
 		this.clock = clock;
-		Arrays.fill(this.tickMillis, clock.getAsLong());
+		long nowMillis = clock.getAsLong();
+		Arrays.fill(this.tickMillis, nowMillis);
+		this.silence = new PathSilence(nowMillis);
 	}
 
 	/** Records that the event loop has read what was there. */
@@ -69,12 +73,39 @@
 	}
 
 	/**
-	 * Returns when a request arrived that is being read.
+	 * Records that a connection has been accepted.
+	 * @return the earliest time at which its client may have sent anything on it
+	 */
+	public long accept() {
+		this.silence.recordRead(this.clock.getAsLong());
+		return this.tickMillis[0];
+	}
+
+	/**
+	 * Returns the time of the clock.
+	 * @return the current time
+	 */
+	public long now() {
+		return this.clock.getAsLong();
+	}
+
+	/** Records that a part of a request has been read. */
+	public void readPart() {
+		this.silence.recordRead(this.clock.getAsLong());
+	}
+
+	/**
+	 * Returns when a request arrived that is being read, and when it was sent.
+	 * @param quietSinceMillis since when the connection has had no request without an
+	 * answer
 	 * @return the bounds of its arrival
 	 */
-	public RequestArrival read() {
+	public RequestArrival read(long quietSinceMillis) {
 		this.readSinceTick = true;
-		return new RequestArrival(this.tickMillis[0], this.clock.getAsLong());
+		long nowMillis = this.clock.getAsLong();
+		this.silence.recordRead(nowMillis);
+		long earliestSentMillis = Math.min(this.tickMillis[0], this.silence.earliestSentMillis(nowMillis));
+		return new RequestArrival(Math.max(quietSinceMillis, earliestSentMillis), this.tickMillis[0], nowMillis);
 	}
 
 }
--- a/core/src/main/java/org/baobabspar/dispatch/DispatchedJob.java
+++ b/core/src/main/java/org/baobabspar/dispatch/DispatchedJob.java
@@ -50,6 +50,15 @@
 	/** Number of runs that were dispatched and whose end is not known. */
 	int outstandingRuns;
 
+	/**
+	 * Whether a caller is known to have sent its request just now, so that it has not
+	 * turned to another entry since.
+	 */
+	boolean fresh;
+
+	/** Whether nothing may be dispatched until the claim of the job is granted. */
+	boolean awaitsClaim;
+
 	/** Whether a run that may have started has ended. */
 	boolean started;
 
@@ -129,7 +138,7 @@
 	}
 
 	boolean placeable() {
-		if (this.closed || this.remainingTasks <= this.outstandingRuns) {
+		if (this.closed || this.awaitsClaim || this.remainingTasks <= this.outstandingRuns) {
 			return false;
 		}
 		for (DispatchedTask task : this.tasks) {
--- a/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/baobabspar/dispatch/Dispatcher.java
@@ -9,6 +9,7 @@
 
 import org.baobabspar.dispatch.DispatchedTask.State;
 import org.baobabspar.dispatch.PreviousRun.Proof;
+import org.baobabspar.fleet.ClaimedJob;
 import org.baobabspar.fleet.DomainDrains;
 import org.baobabspar.fleet.DrainGossip;
 import org.baobabspar.fleet.JobSubmission;
@@ -17,6 +18,8 @@
 import org.baobabspar.message.CancelNotice;
 import org.baobabspar.message.CancelReply;
 import org.baobabspar.message.DrainNotice;
+import org.baobabspar.message.JobClaim;
+import org.baobabspar.message.JobClaimReply;
 import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.LeaseRequest;
 import org.baobabspar.message.RunEnded;
@@ -51,6 +54,9 @@
 
 	private static final long RETRY_AFTER_SECONDS = 1;
 
+	/** The runs of the job were given up, and another entry may run it. */
+	private static final JobReply SUPERSEDED = new JobReply(JobOutcome.UNKNOWN, "superseded", RETRY_AFTER_SECONDS);
+
 	private static final JobReply CANCELLED = new JobReply(JobOutcome.FAILED, "cancelled", 0);
 
 	private final DispatchOutbox outbox;
@@ -69,6 +75,8 @@
 
 	private final JobCancellations cancellations;
 
+	private final JobClaims claims;
+
 	private final DrainGossip drains;
 
 	private final SuspensionReview suspensions = new SuspensionReview();
@@ -82,12 +90,27 @@
 		this.outbox = outbox;
 		this.agents = new AgentRegistry(outbox);
 		this.cancellations = new JobCancellations(outbox::send, this::closeCancelled);
+		this.claims = new JobClaims(outbox);
 		this.placer = new JobPlacer(domain, this.agents, outbox, this::decline);
 		this.drains = new DrainGossip((link, known) -> outbox.send(link, new DrainNotice(known)));
 	}
 
 	// Jobs
 
+	/**
+	 * Submits a job whose caller is known to have sent the request just now.
+	 * @param order the job
+	 * @param route the route of the job
+	 * @param timeoutMillis the time for which the caller still waits; not positive if it
+	 * waits no longer
+	 * @param caller receives the answer, exactly once
+	 * @param nowMillis the current time
+	 */
+	public void submit(JobSubmission order, Route route, long timeoutMillis, Consumer<JobReply> caller,
+			long nowMillis) {
+		submit(order, route, timeoutMillis, true, caller, nowMillis);
+	}
+
 	/**
 	 * Submits a job. A job that is known already is answered from the retained answers or
 	 * gets the caller added.
@@ -95,10 +118,12 @@
 	 * @param route the route of the job
 	 * @param timeoutMillis the time for which the caller still waits; not positive if it
 	 * waits no longer
+	 * @param fresh whether the caller is known to have sent the request just now. If it
+	 * is not, it may have turned to another entry since, and the job is claimed first
 	 * @param caller receives the answer, exactly once
 	 * @param nowMillis the current time
 	 */
-	public void submit(JobSubmission order, Route route, long timeoutMillis, Consumer<JobReply> caller,
+	public void submit(JobSubmission order, Route route, long timeoutMillis, boolean fresh, Consumer<JobReply> caller,
 			long nowMillis) {
 		Optional<RetainedAnswers.Answer> known = this.answers.find(order.id());
 		if (known.isPresent()) {
@@ -115,7 +140,7 @@
 		}
 		DispatchedJob job = this.jobs.get(order.id());
 		if (job != null) {
-			rejoin(job, timeoutMillis, caller, nowMillis);
+			rejoin(job, timeoutMillis, fresh, caller, nowMillis);
 			return;
 		}
 		Optional<String> refusal = (timeoutMillis > 0) ? refusalReason(order, route, nowMillis)
@@ -133,6 +158,24 @@
 		job.callers.add(caller);
 		this.jobs.put(order.id(), job);
 		this.heldTasks += job.tasks.size();
+		claimIfNeeded(job, fresh, nowMillis);
+	}
+
+	/**
+	 * Lets a job that nothing has been started of wait for its claim if another entry may
+	 * have it.
+	 * @param job the job
+	 * @param fresh whether its caller is known to have sent the request just now
+	 * @param nowMillis the current time
+	 */
+	private void claimIfNeeded(DispatchedJob job, boolean fresh, long nowMillis) {
+		job.fresh = fresh;
+		if (!fresh) {
+			this.claims.require(job, "request_may_be_old", nowMillis);
+		}
+		else if (this.claims.isClaimedElsewhere(job.order.id())) {
+			this.claims.require(job, "claimed_elsewhere", nowMillis);
+		}
 	}
 
 	private Optional<String> refusalReason(JobSubmission order, Route route, long nowMillis) {
@@ -157,10 +200,12 @@
 	 * longer changes nothing.
 	 * @param job the job
 	 * @param timeoutMillis the time for which the caller still waits
+	 * @param fresh whether the caller is known to have sent the request just now
 	 * @param caller receives the answer
 	 * @param nowMillis the current time
 	 */
-	private void rejoin(DispatchedJob job, long timeoutMillis, Consumer<JobReply> caller, long nowMillis) {
+	private void rejoin(DispatchedJob job, long timeoutMillis, boolean fresh, Consumer<JobReply> caller,
+			long nowMillis) {
 		this.outbox.log("job=" + job.order.id() + " answer=rejoined given_up=" + job.closed + " runs="
 				+ job.outstandingRuns + " timeout_ms=" + timeoutMillis);
 		if (timeoutMillis <= 0) {
@@ -174,8 +219,10 @@
 			job.closed = false;
 			job.receivedMillis = nowMillis;
 			job.deadlineMillis = deadlineMillis;
+			claimIfNeeded(job, fresh, nowMillis);
 		}
 		else {
+			job.fresh |= fresh;
 			job.deadlineMillis = Math.max(job.deadlineMillis, deadlineMillis);
 		}
 	}
@@ -240,6 +287,66 @@
 		this.cancellations.handleReply(link, reply);
 	}
 
+	/**
+	 * Handles the claim of another entry, which an agent passes on.
+	 * @param link the link of the agent
+	 * @param claim the claim
+	 * @param nowMillis the current time
+	 */
+	public void handleJobClaim(String link, JobClaim claim, long nowMillis) {
+		this.claims.remember(claim, nowMillis);
+		if (claim.sequence() > 0) {
+			List<String> held = claim.jobs()
+				.stream()
+				.filter((claimed) -> holds(claimed, claim.precedes(), nowMillis))
+				.map(ClaimedJob::jobId)
+				.toList();
+			this.outbox.send(link, new JobClaimReply(claim.sequence(), true, held));
+		}
+	}
+
+	/**
+	 * Returns whether this entry holds a job that another one claims, and gives it up if
+	 * the claimant has the better right. A fresh request is newer than one that may be
+	 * old. Among two of the same kind, a job of which nothing has been started goes to
+	 * the claimant that precedes.
+	 * @param claimed the job
+	 * @param precedes whether the claimant goes first if both have the same right
+	 * @param nowMillis the current time
+	 * @return whether runs of this entry may be present or the claimant has to wait
+	 */
+	private boolean holds(ClaimedJob claimed, boolean precedes, long nowMillis) {
+		DispatchedJob job = this.jobs.get(claimed.jobId());
+		if (job == null || job.closed) {
+			return job != null;
+		}
+		boolean newer = claimed.fresh() && !job.fresh;
+		boolean unstarted = job.awaitsClaim && job.outstandingRuns == 0;
+		boolean yields = newer || (unstarted && precedes && claimed.fresh() == job.fresh);
+		this.outbox.log("job=" + claimed.jobId() + " claim=foreign yields=" + yields + " fresh=" + job.fresh
+				+ " claimant_fresh=" + claimed.fresh() + " runs=" + job.outstandingRuns);
+		if (!yields) {
+			return true;
+		}
+		if (unstarted) {
+			this.claims.giveWay(job, nowMillis);
+		}
+		else {
+			answer(job, SUPERSEDED, nowMillis);
+		}
+		return job.outstandingRuns > 0;
+	}
+
+	/**
+	 * Handles the answer of an agent to a claim of this entry.
+	 * @param link the link of the agent
+	 * @param reply the answer
+	 * @param nowMillis the current time
+	 */
+	public void handleJobClaimReply(String link, JobClaimReply reply, long nowMillis) {
+		this.claims.handleReply(link, reply, nowMillis);
+	}
+
 	/**
 	 * Declines all open jobs. Called after this process has stalled, since the callers
 	 * may have turned to another entry, and before it exits.
@@ -278,6 +385,7 @@
 
 	private void close(DispatchedJob job) {
 		job.closed = true;
+		this.claims.withdraw(job);
 		for (DispatchedTask task : job.tasks) {
 			if (task.state == State.DISPATCHED && task.agent.link != null) {
 				this.outbox.send(task.agent.link, new RunStop(task.runKey()));
@@ -484,11 +592,14 @@
 		else if (task.failures >= Math.max(1, job.route.maxAttempts())) {
 			answer(job, new JobReply(JobOutcome.FAILED, "attempts", 0), nowMillis);
 		}
+		else if (end == RunEnd.JOB_PRESENT) {
+			this.claims.require(job, "present_at_" + agent.name, nowMillis);
+		}
 	}
 
 	private void requeue(DispatchedTask task, RunEnd end, AgentView agent) {
 		task.state = State.PENDING;
-		if (end != RunEnd.REFUSED) {
+		if (end.usesNumber()) {
 			task.runNumber++;
 		}
 		if (end.countsAsAttempt()) {
@@ -561,6 +672,7 @@
 	 * @param nowMillis the current time
 	 */
 	public void place(long nowMillis) {
+		this.claims.ask(this.agents.links(), this.agents.allLinked(), nowMillis);
 		if (!this.suspensions.doubtful()) {
 			this.placer.place(this.jobs.values(), nowMillis);
 		}
--- a/core/src/main/java/org/baobabspar/dispatch/JobPlacer.java
+++ b/core/src/main/java/org/baobabspar/dispatch/JobPlacer.java
@@ -51,6 +51,7 @@
 	 * @param nowMillis the current time
 	 */
 	void place(Collection<DispatchedJob> jobs, long nowMillis) {
+		declineUselessClaims(jobs, nowMillis);
 		List<DispatchedJob> placeable = jobs.stream()
 			.filter((j) -> nowMillis < j.deadlineMillis && j.placeable())
 			.sorted(Comparator.comparingInt((DispatchedJob j) -> j.route.priority())
@@ -76,6 +77,20 @@
 		late.forEach((job) -> placeLate(job, selectors.get(job.route.service()), nowMillis));
 	}
 
+	/**
+	 * Declines the jobs that have waited for their claim until their answer would be of
+	 * no use. Most of their callers have turned to the entry that holds the job.
+	 * @param jobs all jobs of the entry
+	 * @param nowMillis the current time
+	 */
+	private void declineUselessClaims(Collection<DispatchedJob> jobs, long nowMillis) {
+		jobs.stream()
+			.filter((j) -> j.awaitsClaim && !j.closed)
+			.toList()
+			.forEach((j) -> declineIfUseless(j, 1,
+					this.agents.usable(j.route, nowMillis).isEmpty() ? "no_endpoint" : "claim_pending", nowMillis));
+	}
+
 	/**
 	 * Returns the lowest priority of the open jobs of each service, as the highest value.
 	 * @param jobs all jobs of the entry
--- a/core/src/main/java/org/baobabspar/dispatch/RequestArrival.java
+++ b/core/src/main/java/org/baobabspar/dispatch/RequestArrival.java
@@ -1,17 +1,19 @@
 package org.baobabspar.dispatch;
 
 /**
- * The times between which a request arrived at this VM. A process that was stopped, or
- * whose event loop was busy, reads requests that have waited in its sockets for seconds,
- * and nothing in a request says when it was sent.
+ * The times between which a request was sent and arrived at this VM. A process that was
+ * stopped, or whose event loop was busy, reads requests that have waited in its sockets
+ * for seconds, the network may have held them up before, and nothing in a request says
+ * when it was sent.
  * <p>
- * Invariant: the request did not arrive before the earliest time. Immutable and
- * thread-safe.
+ * Invariant: the request was not sent before the first time and did not arrive before the
+ * second. Immutable and thread-safe.
  *
+ * @param earliestSentMillis the earliest time at which the client may have sent it
  * @param earliestMillis the earliest time at which the request may have arrived
  * @param readMillis when the request was read
  */
-public record RequestArrival(long earliestMillis, long readMillis) {
+public record RequestArrival(long earliestSentMillis, long earliestMillis, long readMillis) {
 
 	/**
 	 * Longest interval between the two times that still counts as no delay, since the
@@ -21,8 +23,9 @@
 
 	/** Validates the components. */
 	public RequestArrival {
-		if (earliestMillis > readMillis) {
-			throw new IllegalArgumentException("earliestMillis " + earliestMillis + " > readMillis " + readMillis);
+		if (earliestMillis > readMillis || earliestSentMillis > readMillis) {
+			throw new IllegalArgumentException("earliestSentMillis " + earliestSentMillis + " or earliestMillis "
+					+ earliestMillis + " > readMillis " + readMillis);
 		}
 	}
 
@@ -45,4 +48,14 @@
 		return maxUnreadMillis() + nowMillis - this.readMillis;
 	}
 
+	/**
+	 * Returns whether the caller may have turned to another entry since it sent the
+	 * request.
+	 * @param nowMillis the current time
+	 * @return whether the request may be old
+	 */
+	public boolean mayBeOld(long nowMillis) {
+		return nowMillis - this.earliestSentMillis > MAX_IGNORED_INTERVAL_MILLIS;
+	}
+
 }
--- a/core/src/main/java/org/baobabspar/fleet/RunEnd.java
+++ b/core/src/main/java/org/baobabspar/fleet/RunEnd.java
@@ -24,7 +24,10 @@
 	 * Refused before the start because the endpoint had already seen this run number or a
 	 * higher one.
 	 */
-	NUMBER_USED(false, false);
+	NUMBER_USED(false, false),
+
+	/** Refused before the start because another entry has a run of the job there. */
+	JOB_PRESENT(false, false);
 
 	private final boolean mayHaveStarted;
 
@@ -43,6 +46,15 @@
 		return this.mayHaveStarted;
 	}
 
+	/**
+	 * Returns whether the next run of the task takes another number. Endpoints know the
+	 * number of a run that they have seen.
+	 * @return {@code false} only if no endpoint was asked to start the run
+	 */
+	public boolean usesNumber() {
+		return this != REFUSED && this != JOB_PRESENT;
+	}
+
 	/**
 	 * Returns whether a run that ended in this way counts against the maximum number of
 	 * attempts of its task.
--- a/core/src/main/java/org/baobabspar/message/Message.java
+++ b/core/src/main/java/org/baobabspar/message/Message.java
@@ -7,8 +7,8 @@
  */
 public sealed interface Message permits AgentHello, AgentHeartbeat, TaskEnded, TaskRefused, FenceReply, JobSuperseded,
 		AgentGoodbye, EntryNotice, EntryHello, EntryHeartbeat, Dispatch, Fence, DrainAck, GoodbyeAck, DocumentNotice,
-		PeerHello, PeerWelcome, PeerHeartbeat, PeerEcho, AgentNotices, NoticesAck, JobAsk, JobAskReply, JobEnded,
-		JobCancel, PeerGoodbye, SupervisorHello, EntryWelcome, LeaseRequest, LeaseGrant, RunStart, RunStop, RunEnded,
-		RoutingNotice, CancelNotice, CancelReply, DrainNotice {
+		PeerHello, PeerWelcome, PeerHeartbeat, PeerEcho, AgentNotices, NoticesAck, JobAsk, JobAskReply, JobClaim,
+		JobClaimReply, JobEnded, JobCancel, PeerGoodbye, SupervisorHello, EntryWelcome, LeaseRequest, LeaseGrant,
+		RunStart, RunStop, RunEnded, RoutingNotice, CancelNotice, CancelReply, DrainNotice {
 
 }
--- a/core/src/main/java/org/baobabspar/message/MessageType.java
+++ b/core/src/main/java/org/baobabspar/message/MessageType.java
@@ -119,7 +119,13 @@
 	CANCEL_REPLY(69, CancelReply.class),
 
 	/** See {@link DrainNotice}. */
-	DRAIN_NOTICE(70, DrainNotice.class);
+	DRAIN_NOTICE(70, DrainNotice.class),
+
+	/** See {@link JobClaim}. */
+	JOB_CLAIM(71, JobClaim.class),
+
+	/** See {@link JobClaimReply}. */
+	JOB_CLAIM_REPLY(72, JobClaimReply.class);
 
 	private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
 
--- a/core/src/main/java/org/baobabspar/supervise/CancellationRelay.java
+++ b/core/src/main/java/org/baobabspar/supervise/CancellationRelay.java
@@ -1,11 +1,8 @@
 package org.baobabspar.supervise;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
 import org.baobabspar.fleet.CancelledJob;
@@ -29,17 +26,17 @@
 
 	private final CancelledJobs jobs = new CancelledJobs();
 
-	private final Map<Long, Round> rounds = new HashMap<>();
+	private final RelayRounds rounds;
 
 	private final SupervisorOutbox outbox;
 
 	private final RunStopper stopper;
 
-	private long lastSequence;
-
 	CancellationRelay(SupervisorOutbox outbox, RunStopper stopper) {
 		this.outbox = outbox;
 		this.stopper = stopper;
+		this.rounds = new RelayRounds(
+				(link, sequence, complete, knownJobIds) -> outbox.send(link, new CancelReply(sequence, knownJobIds)));
 	}
 
 	boolean isCancelled(String jobId) {
@@ -62,10 +59,9 @@
 			}
 		}
 		if (notice.sequence() > 0) {
-			Round round = new Round(link, notice.sequence(), known, new HashSet<>(otherLinks));
-			this.rounds.put(++this.lastSequence, round);
-			send(otherLinks, new CancelNotice(this.lastSequence, notice.jobs()));
-			confirmCompleteRounds();
+			long sequence = this.rounds.begin(link, notice.sequence(), known, true, otherLinks);
+			send(otherLinks, new CancelNotice(sequence, notice.jobs()));
+			this.rounds.answerEnded();
 		}
 		else if (!added.isEmpty()) {
 			send(otherLinks, new CancelNotice(0, added));
@@ -77,11 +73,7 @@
 	}
 
 	void handleReply(String link, CancelReply reply) {
-		Round round = this.rounds.get(reply.sequence());
-		if (round != null && round.awaitedLinks.remove(link)) {
-			round.knownJobIds.addAll(reply.knownJobIds());
-			confirmCompleteRounds();
-		}
+		this.rounds.handleAnswer(link, reply.sequence(), true, reply.knownJobIds());
 	}
 
 	/**
@@ -97,21 +89,7 @@
 	}
 
 	void unlinked(String link) {
-		this.rounds.values().removeIf((round) -> round.askingLink.equals(link));
-		this.rounds.values().forEach((round) -> round.awaitedLinks.remove(link));
-		confirmCompleteRounds();
-	}
-
-	private void confirmCompleteRounds() {
-		Iterator<Round> all = this.rounds.values().iterator();
-		while (all.hasNext()) {
-			Round round = all.next();
-			if (round.awaitedLinks.isEmpty()) {
-				all.remove();
-				this.outbox.send(round.askingLink,
-						new CancelReply(round.askingSequence, List.copyOf(round.knownJobIds)));
-			}
-		}
+		this.rounds.unlinked(link);
 	}
 
 	/** Stops the runs of cancelled jobs. */
@@ -128,15 +106,4 @@
 
 	}
 
-	/**
-	 * A notice that was passed on and is not confirmed by all entries yet.
-	 *
-	 * @param askingLink link of the entry that waits for the confirmation
-	 * @param askingSequence number of its notice
-	 * @param knownJobIds the jobs that are known to a process that was asked
-	 * @param awaitedLinks links of the entries that have not confirmed
-	 */
-	private record Round(String askingLink, long askingSequence, Set<String> knownJobIds, Set<String> awaitedLinks) {
-	}
-
 }
--- a/core/src/main/java/org/baobabspar/supervise/EntrySessionRegistry.java
+++ b/core/src/main/java/org/baobabspar/supervise/EntrySessionRegistry.java
@@ -95,6 +95,17 @@
 		return this.byIncarnation.values();
 	}
 
+	/**
+	 * Returns whether an entry has lost its link so recently that its runs may be present
+	 * anywhere in the fleet.
+	 * @param nowMillis the current time
+	 * @return whether the lease of an unlinked entry has not been over for long enough
+	 */
+	boolean hasLostRecently(long nowMillis) {
+		return all().stream()
+			.anyMatch((session) -> !session.linked && nowMillis < session.leaseUntilMillis + LeaseTimes.LOSS_MILLIS);
+	}
+
 	EntrySession bind(String link, EntryWelcome welcome) {
 		EntrySession welcomed = new EntrySession(welcome.entry(), welcome.incarnation());
 		EntrySession session = this.byIncarnation.computeIfAbsent(welcomed.incarnationName(), (name) -> welcomed);
--- a/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
+++ b/core/src/main/java/org/baobabspar/supervise/RunSupervisor.java
@@ -22,6 +22,8 @@
 import org.baobabspar.message.CancelReply;
 import org.baobabspar.message.DrainNotice;
 import org.baobabspar.message.EntryWelcome;
+import org.baobabspar.message.JobClaim;
+import org.baobabspar.message.JobClaimReply;
 import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.RunStart;
 import org.baobabspar.message.SupervisorHello;
@@ -98,6 +100,8 @@
 
 	private final CancellationRelay cancellations;
 
+	private final JobClaimRelay claims;
+
 	private final DrainGossip drains;
 
 	private final RoomSharing roomSharing = new RoomSharing();
@@ -183,6 +187,7 @@
 		this.drains = new DrainGossip((link, known) -> outbox.send(link, new DrainNotice(known)));
 		this.gate = new StartGate(domain, this.runs, this.sessions, this.renewals, this.possibleSuspension,
 				this.cancellations, this.drains);
+		this.claims = new JobClaimRelay(outbox, this.sessions, this.gate::hasForeignRun);
 	}
 
 	// The endpoint
@@ -593,12 +598,14 @@
 		}
 		owner.lastStartSequence = order.sequence();
 		this.roomSharing.recordStart(owner, order.resources(), nowMillis);
+		if (this.gate.hasForeignRun(order.run().jobId(), owner)) {
+			refuse(owner, order, "job_present", RunEnd.JOB_PRESENT);
+			return;
+		}
 		Optional<String> reason = this.gate.refusalReason(owner, order, state(nowMillis), () -> offeredRoom(nowMillis),
 				nowMillis);
 		if (reason.isPresent()) {
-			this.log.accept("refuse run=" + order.run().task() + "#" + order.run().number() + " entry=" + owner.entry
-					+ " reason=" + reason.get());
-			this.sessions.reportEnd(owner, order.run(), RunEnd.REFUSED, 0);
+			refuse(owner, order, reason.get(), RunEnd.REFUSED);
 			return;
 		}
 		SupervisedRun run = new SupervisedRun(order.run(), owner, order.resources(), order.expectedMillis(), nowMillis);
@@ -610,6 +617,12 @@
 		this.sessions.markRoomChanged();
 	}
 
+	private void refuse(EntrySession owner, RunStart order, String reason, RunEnd end) {
+		this.log.accept("refuse run=" + order.run().task() + "#" + order.run().number() + " entry=" + owner.entry
+				+ " reason=" + reason);
+		this.sessions.reportEnd(owner, order.run(), end, 0);
+	}
+
 	/**
 	 * Handles the endpoint's answer to a start.
 	 * @param key the run
@@ -687,6 +700,25 @@
 		this.cancellations.handleReply(link, reply);
 	}
 
+	/**
+	 * Handles an entry's claim of jobs.
+	 * @param link the link of the entry
+	 * @param claim the claim
+	 * @param nowMillis the current time
+	 */
+	public void claim(String link, JobClaim claim, long nowMillis) {
+		this.sessions.find(link).ifPresent((claimant) -> this.claims.handleClaim(claimant, claim, nowMillis));
+	}
+
+	/**
+	 * Handles an entry's answer to a claim that this agent has passed on.
+	 * @param link the link of the entry
+	 * @param reply the answer
+	 */
+	public void claimAnswered(String link, JobClaimReply reply) {
+		this.claims.handleReply(link, reply);
+	}
+
 	private boolean stopRunsOf(String jobId, long nowMillis) {
 		List<SupervisedRun> cancelled = this.runs.values()
 			.stream()
@@ -763,6 +795,7 @@
 			this.roomSharing.begin(nowMillis);
 		}
 		this.cancellations.linked(link, nowMillis);
+		this.claims.linked(link, nowMillis);
 		this.drains.linked(link);
 		this.outbox.send(link, new SupervisorHello(this.agent, this.incarnation, this.domain,
 				status(session, nowMillis), runsOf(session), welcome.linkNumber()));
@@ -781,6 +814,7 @@
 	public void unlinked(String link) {
 		this.sessions.unbind(link);
 		this.cancellations.unlinked(link);
+		this.claims.unlinked(link);
 	}
 
 	/**
--- a/core/src/main/java/org/baobabspar/supervise/StartGate.java
+++ b/core/src/main/java/org/baobabspar/supervise/StartGate.java
@@ -14,8 +14,8 @@
  * the endpoint is called, so it does not trust what entries know.
  * <p>
  * Invariants: a run that is refused never begins; an accepted run fits into the room of
- * the endpoint, and no other entry has a run of its job there. Not thread-safe; used on
- * the control thread only.
+ * the endpoint and has no predecessor there. Not thread-safe; used on the control thread
+ * only.
  */
 final class StartGate {
 
@@ -98,16 +98,20 @@
 		if (state == EndpointState.DRAINING || state == EndpointState.SILENT) {
 			return Optional.of(state.name());
 		}
-		if (jobIsPresent(owner, order)) {
-			return Optional.of("job_present");
+		if (this.runs.containsKey(order.run().task())) {
+			return Optional.of("task_present");
 		}
 		return (state == EndpointState.SUSPECT) ? Optional.of("endpoint_suspect") : Optional.empty();
 	}
 
-	private boolean jobIsPresent(EntrySession owner, RunStart order) {
-		return this.runs.containsKey(order.run().task()) || this.runs.values()
-			.stream()
-			.anyMatch((run) -> run.owner != owner && run.key.jobId().equals(order.run().jobId()));
+	/**
+	 * Returns whether another entry has runs of a job here.
+	 * @param jobId id of the job
+	 * @param entry the entry
+	 * @return whether a run of the job is present that the entry does not own
+	 */
+	boolean hasForeignRun(String jobId, EntrySession entry) {
+		return this.runs.values().stream().anyMatch((run) -> run.owner != entry && run.key.jobId().equals(jobId));
 	}
 
 }
--- a/core/src/test/java/org/baobabspar/dispatch/ArrivalClockTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/ArrivalClockTests.java
@@ -31,7 +31,7 @@
 
 	private RequestArrival readAfter(long millis) {
 		this.nowMillis += millis;
-		return this.clock.read();
+		return this.clock.read(Long.MIN_VALUE);
 	}
 
 	@Test
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedAgent.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedAgent.java
@@ -11,6 +11,8 @@
 import org.baobabspar.message.CancelReply;
 import org.baobabspar.message.DrainNotice;
 import org.baobabspar.message.EntryWelcome;
+import org.baobabspar.message.JobClaim;
+import org.baobabspar.message.JobClaimReply;
 import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.Message;
 import org.baobabspar.message.RunStart;
@@ -181,6 +183,12 @@
 		else if (message instanceof CancelReply reply) {
 			this.supervisor.cancelConfirmed(link.entryNumber(), reply);
 		}
+		else if (message instanceof JobClaim claim) {
+			this.supervisor.claim(link.entryNumber(), claim, nowMillis);
+		}
+		else if (message instanceof JobClaimReply reply) {
+			this.supervisor.claimAnswered(link.entryNumber(), reply);
+		}
 		else if (message instanceof EntryWelcome welcome) {
 			this.supervisor.welcomed(link.entryNumber(), welcome, nowMillis);
 		}
--- a/core/src/test/java/org/baobabspar/dispatch/SimulatedEntry.java
+++ b/core/src/test/java/org/baobabspar/dispatch/SimulatedEntry.java
@@ -15,6 +15,8 @@
 import org.baobabspar.message.CancelReply;
 import org.baobabspar.message.DrainNotice;
 import org.baobabspar.message.EntryWelcome;
+import org.baobabspar.message.JobClaim;
+import org.baobabspar.message.JobClaimReply;
 import org.baobabspar.message.LeaseRequest;
 import org.baobabspar.message.Message;
 import org.baobabspar.message.RunEnded;
@@ -182,13 +184,14 @@
 	}
 
 	/**
-	 * Submits a job, once everything has been read that arrived with its request.
+	 * Submits a job, once everything has been read that arrived with its request. The
+	 * connection was opened long ago, so that it doesn't bound the age of the request.
 	 * @param connection the connection of the caller
 	 */
 	void submit(CallerConnection connection) {
 		this.callers.add(connection);
 		arrive(() -> {
-			RequestArrival arrival = this.arrivals.read();
+			RequestArrival arrival = this.arrivals.read(Long.MIN_VALUE);
 			int generation = this.process.generation();
 			this.simulation.scheduleAfter(0, () -> {
 				if (generation == this.process.generation()) {
@@ -203,9 +206,11 @@
 			return;
 		}
 		long nowMillis = checkedNow();
-		long waitedMillis = arrival.maxWaitedMillis(nowMillis)
-				+ this.dispatcher.suspendedMillisSince(arrival.earliestMillis());
-		this.dispatcher.submit(connection.order, ROUTE, connection.timeoutMillis - waitedMillis, connection, nowMillis);
+		long suspendedMillis = this.dispatcher.suspendedMillisSince(arrival.earliestMillis());
+		long waitedMillis = arrival.maxWaitedMillis(nowMillis) + suspendedMillis;
+		boolean fresh = !arrival.mayBeOld(nowMillis) && suspendedMillis == 0;
+		this.dispatcher.submit(connection.order, ROUTE, connection.timeoutMillis - waitedMillis, fresh, connection,
+				nowMillis);
 		this.dispatcher.place(nowMillis);
 	}
 
@@ -300,6 +305,12 @@
 		else if (message instanceof CancelReply reply) {
 			this.dispatcher.handleCancelReply(connection.name, reply);
 		}
+		else if (message instanceof JobClaim claim) {
+			this.dispatcher.handleJobClaim(connection.name, claim, nowMillis);
+		}
+		else if (message instanceof JobClaimReply reply) {
+			this.dispatcher.handleJobClaimReply(connection.name, reply, nowMillis);
+		}
 		this.dispatcher.place(nowMillis);
 	}
 
--- a/core/src/test/java/org/baobabspar/fleet/CancelledJobsTests.java
+++ b/core/src/test/java/org/baobabspar/fleet/CancelledJobsTests.java
@@ -19,11 +19,11 @@
 	// Guards against processes that keep telling each other of a job for ever.
 	@Test
 	void ageCountsFromTheCancellationNotFromTheNotice() {
-		this.jobs.add(new CancelledJob("a", CancelledJobs.RETENTION_MILLIS - 1_000), 10_000);
-		Assert.assertEquals(this.jobs.all(10_500).get(0).ageMillis(), CancelledJobs.RETENTION_MILLIS - 500);
+		this.jobs.add(new CancelledJob("a", RecentJobs.RETENTION_MILLIS - 1_000), 10_000);
+		Assert.assertEquals(this.jobs.all(10_500).get(0).ageMillis(), RecentJobs.RETENTION_MILLIS - 500);
 		Assert.assertTrue(this.jobs.all(11_001).isEmpty());
 		Assert.assertFalse(this.jobs.contains("a"));
-		Assert.assertFalse(this.jobs.add(new CancelledJob("b", CancelledJobs.RETENTION_MILLIS + 1), 11_001));
+		Assert.assertFalse(this.jobs.add(new CancelledJob("b", RecentJobs.RETENTION_MILLIS + 1), 11_001));
 	}
 
 	@Test
@@ -35,12 +35,12 @@
 
 	@Test
 	void firstJobsGoFirstIfThereAreTooMany() {
-		for (int i = 0; i <= CancelledJobs.MAX_JOBS; i++) {
+		for (int i = 0; i <= RecentJobs.MAX_JOBS; i++) {
 			this.jobs.add(new CancelledJob("job-" + i, 0), 1_000);
 		}
 		Assert.assertFalse(this.jobs.contains("job-0"));
 		Assert.assertTrue(this.jobs.contains("job-1"));
-		Assert.assertEquals(this.jobs.all(1_000).size(), CancelledJobs.MAX_JOBS);
+		Assert.assertEquals(this.jobs.all(1_000).size(), RecentJobs.MAX_JOBS);
 	}
 
 }
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -17,6 +17,8 @@
 import org.baobabspar.message.CancelReply;
 import org.baobabspar.message.DrainNotice;
 import org.baobabspar.message.EntryWelcome;
+import org.baobabspar.message.JobClaim;
+import org.baobabspar.message.JobClaimReply;
 import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.Message;
 import org.baobabspar.message.RoutingNotice;
@@ -235,6 +237,12 @@
 		else if (message instanceof CancelReply reply) {
 			this.supervisor.cancelConfirmed(link, reply);
 		}
+		else if (message instanceof JobClaim claim) {
+			this.supervisor.claim(link, claim, now);
+		}
+		else if (message instanceof JobClaimReply reply) {
+			this.supervisor.claimAnswered(link, reply);
+		}
 		else if (message instanceof DrainNotice notice) {
 			this.supervisor.adoptDrains(link, notice.drains());
 		}
--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -22,6 +22,8 @@
 import org.baobabspar.message.CancelReply;
 import org.baobabspar.message.DrainNotice;
 import org.baobabspar.message.EntryWelcome;
+import org.baobabspar.message.JobClaim;
+import org.baobabspar.message.JobClaimReply;
 import org.baobabspar.message.LeaseRequest;
 import org.baobabspar.message.Message;
 import org.baobabspar.message.RoutingNotice;
@@ -232,19 +234,20 @@
 			this.control.run(() -> {
 				long now = checkedNow();
 				long suspendedMillis = this.dispatcher.suspendedMillisSince(arrival.earliestMillis());
-				logDelay(order, arrival, suspendedMillis, timeoutMillis);
+				logDelay(order, arrival, suspendedMillis, timeoutMillis, now);
 				long waitedMillis = arrival.maxWaitedMillis(now) + suspendedMillis;
-				this.dispatcher.submit(order, route, timeoutMillis - waitedMillis, caller, now);
+				boolean fresh = !arrival.mayBeOld(now) && suspendedMillis == 0;
+				this.dispatcher.submit(order, route, timeoutMillis - waitedMillis, fresh, caller, now);
 				schedulePlacement();
 			});
 		});
 	}
 
-	private static void logDelay(JobSubmission order, RequestArrival arrival, long suspendedMillis,
-			long timeoutMillis) {
-		if (arrival.maxUnreadMillis() > 0 || suspendedMillis > 0) {
-			LOG.info("entry: job={} unread_ms_max={} suspended_ms={} timeout_ms={}", order.id(),
-					arrival.maxUnreadMillis(), suspendedMillis, timeoutMillis);
+	private static void logDelay(JobSubmission order, RequestArrival arrival, long suspendedMillis, long timeoutMillis,
+			long now) {
+		if (arrival.mayBeOld(now) || suspendedMillis > 0) {
+			LOG.info("entry: job={} sent_ms_ago_max={} unread_ms_max={} suspended_ms={} timeout_ms={}", order.id(),
+					now - arrival.earliestSentMillis(), arrival.maxUnreadMillis(), suspendedMillis, timeoutMillis);
 		}
 	}
 
@@ -357,6 +360,12 @@
 		else if (message instanceof CancelReply reply) {
 			this.dispatcher.handleCancelReply(link, reply);
 		}
+		else if (message instanceof JobClaim claim) {
+			this.dispatcher.handleJobClaim(link, claim, now);
+		}
+		else if (message instanceof JobClaimReply reply) {
+			this.dispatcher.handleJobClaimReply(link, reply, now);
+		}
 		else if (message instanceof DrainNotice notice) {
 			this.dispatcher.adoptDrains(notice.drains(), link);
 		}
