Refuse a request that is complete only once the entry takes no new jobs

Cause: whether new jobs are taken was looked up when the head was read, not when the job was submitted, and the open jobs were counted as of the last tick.

--- a/daemon/src/main/java/org/baobabspar/node/EntryNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/EntryNode.java
@@ -12,6 +12,7 @@
 import org.baobabspar.dispatch.CancelOutcome;
 import org.baobabspar.dispatch.DispatchOutbox;
 import org.baobabspar.dispatch.Dispatcher;
+import org.baobabspar.dispatch.JobOutcome;
 import org.baobabspar.dispatch.JobReply;
 import org.baobabspar.dispatch.RequestArrival;
 import org.baobabspar.fleet.DomainDrains;
@@ -63,6 +64,8 @@
 	/** Minimum interval between routing notices, for frequent routing changes. */
 	private static final long ROUTING_NOTICE_INTERVAL_MILLIS = 2_000;
 
+	private static final JobReply STOPPING = new JobReply(JobOutcome.REFUSED, "entry_stopping", 1);
+
 	private final String name;
 
 	private final long incarnation = System.currentTimeMillis();
@@ -232,6 +235,11 @@
 			Consumer<JobReply> caller = sink::success;
 			sink.onCancel(() -> this.control.run(() -> this.dispatcher.abandon(order.id(), caller, checkedNow())));
 			this.control.run(() -> {
+				if (this.rejectingNewJobs) {
+					LOG.info("entry: job={} refused reason=entry_stopping", order.id());
+					caller.accept(STOPPING);
+					return;
+				}
 				long now = checkedNow();
 				long suspendedMillis = this.dispatcher.suspendedMillisSince(arrival.earliestMillis());
 				logDelay(order, arrival, suspendedMillis, timeoutMillis, now);
@@ -287,12 +295,22 @@
 		return this.draining;
 	}
 
-	/** Rejects new jobs from now on, since too little time is left to run them. */
+	/**
+	 * Rejects new jobs from soon on, since too little time is left to run them. That
+	 * includes those whose requests have begun and are not complete.
+	 */
 	public void rejectNewJobs() {
-		this.rejectingNewJobs = true;
-		LOG.info("entry: refusing new jobs, open={}", this.openJobs);
+		this.control.run(() -> {
+			this.openJobs = this.dispatcher.openJobCount();
+			this.rejectingNewJobs = true;
+			LOG.info("entry: refusing new jobs, open={}", this.openJobs);
+		});
 	}
 
+	/**
+	 * Returns whether new jobs are rejected. From then on {@link #openJobs()} only falls.
+	 * @return whether they are
+	 */
 	public boolean rejectingNewJobs() {
 		return this.rejectingNewJobs;
 	}
