Begin links with small frames, whatever an agent has to tell

Cause: an agent's first frame on a link listed all cancelled jobs, or held a routing table, and passed the 64 KiB that an entry takes until a first message has arrived.

Change: lists of jobs are sent in batches of 1,000; a routing table after the first grant on the link.

--- a/core/src/main/java/org/baobabspar/dispatch/JobCancellations.java
+++ b/core/src/main/java/org/baobabspar/dispatch/JobCancellations.java
@@ -10,6 +10,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
+import org.baobabspar.fleet.Batches;
 import org.baobabspar.fleet.CancelledJob;
 import org.baobabspar.fleet.CancelledJobs;
 import org.baobabspar.message.CancelNotice;
@@ -118,10 +119,7 @@
 	 * @param nowMillis the current time
 	 */
 	void linked(String link, long nowMillis) {
-		List<CancelledJob> all = this.jobs.all(nowMillis);
-		if (!all.isEmpty()) {
-			this.sender.accept(link, new CancelNotice(0, all));
-		}
+		Batches.of(this.jobs.all(nowMillis)).forEach((jobs) -> this.sender.accept(link, new CancelNotice(0, jobs)));
 	}
 
 	/**
@@ -151,20 +149,23 @@
 				.filter((e) -> !e.getValue().equals(link))
 				.map(Map.Entry::getKey)
 				.toList();
-			if (!news.isEmpty()) {
-				this.sender.accept(link, new CancelNotice(0, news));
-			}
+			Batches.of(news).forEach((jobs) -> this.sender.accept(link, new CancelNotice(0, jobs)));
 		}
 		this.untold.clear();
 	}
 
 	private void ask(Collection<String> links, long nowMillis) {
-		if (this.unasked.isEmpty()) {
-			return;
-		}
-		Round round = new Round(nowMillis, this.unasked, this.unaskedKnown, new HashSet<>(links));
+		Batches.of(List.copyOf(this.unasked.keySet())).forEach((ids) -> ask(ids, links, nowMillis));
 		this.unasked = new LinkedHashMap<>();
 		this.unaskedKnown = new HashSet<>();
+	}
+
+	private void ask(List<String> ids, Collection<String> links, long nowMillis) {
+		Map<String, List<Consumer<CancelOutcome>>> callers = new LinkedHashMap<>();
+		ids.forEach((id) -> callers.put(id, this.unasked.get(id)));
+		Set<String> known = new HashSet<>(this.unaskedKnown);
+		known.retainAll(ids);
+		Round round = new Round(nowMillis, callers, known, new HashSet<>(links));
 		if (links.isEmpty()) {
 			round.giveUp();
 			return;
--- a/core/src/main/java/org/baobabspar/dispatch/JobClaims.java
+++ b/core/src/main/java/org/baobabspar/dispatch/JobClaims.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.baobabspar.fleet.Batches;
 import org.baobabspar.fleet.ClaimedJob;
 import org.baobabspar.fleet.RecentJobs;
 import org.baobabspar.message.JobClaim;
@@ -131,6 +132,7 @@
 		List<ClaimedJob> due = this.pending.values()
 			.stream()
 			.filter((claim) -> claim.dueMillis <= nowMillis)
+			.limit(Batches.MAX_JOBS)
 			.map((claim) -> new ClaimedJob(claim.job.order.id(), claim.job.fresh))
 			.toList();
 		if (due.isEmpty()) {
--- a/core/src/main/java/org/baobabspar/supervise/CancellationRelay.java
+++ b/core/src/main/java/org/baobabspar/supervise/CancellationRelay.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 
+import org.baobabspar.fleet.Batches;
 import org.baobabspar.fleet.CancelledJob;
 import org.baobabspar.fleet.CancelledJobs;
 import org.baobabspar.message.CancelNotice;
@@ -82,10 +83,7 @@
 	 * @param nowMillis the current time
 	 */
 	void linked(String link, long nowMillis) {
-		List<CancelledJob> all = this.jobs.all(nowMillis);
-		if (!all.isEmpty()) {
-			this.outbox.send(link, new CancelNotice(0, all));
-		}
+		Batches.of(this.jobs.all(nowMillis)).forEach((jobs) -> this.outbox.send(link, new CancelNotice(0, jobs)));
 	}
 
 	void unlinked(String link) {
--- a/core/src/main/java/org/baobabspar/supervise/JobClaimRelay.java
+++ b/core/src/main/java/org/baobabspar/supervise/JobClaimRelay.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.BiPredicate;
 
+import org.baobabspar.fleet.Batches;
 import org.baobabspar.fleet.ClaimedJob;
 import org.baobabspar.fleet.RecentJobs;
 import org.baobabspar.message.JobClaim;
@@ -84,9 +85,7 @@
 			.stream()
 			.map((id) -> new ClaimedJob(id, false))
 			.toList();
-		if (!all.isEmpty()) {
-			this.outbox.send(link, new JobClaim(0, false, all));
-		}
+		Batches.of(all).forEach((batch) -> this.outbox.send(link, new JobClaim(0, false, batch)));
 	}
 
 	void unlinked(String link) {
--- a/core/src/test/java/org/baobabspar/supervise/CancellationRelayTests.java
+++ b/core/src/test/java/org/baobabspar/supervise/CancellationRelayTests.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 
+import org.baobabspar.fleet.Batches;
 import org.baobabspar.fleet.CancelledJob;
 import org.baobabspar.fleet.RunEnd;
 import org.baobabspar.message.CancelNotice;
@@ -124,6 +125,23 @@
 			Assert.assertEquals(ends(), List.of(RunEnd.REFUSED));
 		}
 
+		// Guards against a link that is closed at its first frame, because it is longer
+		// than a link takes on which no message has arrived.
+		@Test
+		void areToldInSmallMessagesAfterAWave() {
+			int count = 2 * Batches.MAX_JOBS + 1;
+			for (int i = 0; i < count; i++) {
+				this.supervisor.cancel("entry-2", new CancelNotice(0, List.of(new CancelledJob("job" + i, 0))),
+						this.nowMillis);
+			}
+			link();
+			List<Integer> sizes = this.sent.stream()
+				.filter(CancelNotice.class::isInstance)
+				.map((message) -> ((CancelNotice) message).jobs().size())
+				.toList();
+			Assert.assertEquals(sizes, List.of(Batches.MAX_JOBS, Batches.MAX_JOBS, 1));
+		}
+
 		@Test
 		void areKnownToAnEntryThatLinksAgainBeforeItGrantsALease() {
 			attach(1);
--- a/daemon/src/main/java/org/baobabspar/node/AgentNode.java
+++ b/daemon/src/main/java/org/baobabspar/node/AgentNode.java
@@ -88,6 +88,9 @@
 	 */
 	private RoutingTable routing;
 
+	/** Routing versions of the entries that have not granted anything on their link. */
+	private final Map<String, Long> routingVersionByLink = new HashMap<>();
+
 	private volatile boolean idle = true;
 
 	/**
@@ -227,6 +230,7 @@
 		}
 		else if (message instanceof LeaseGrant grant) {
 			this.supervisor.granted(link, grant, now);
+			sendNewerRouting(link);
 		}
 		else if (message instanceof RunStop stop) {
 			this.supervisor.stop(link, stop.run(), now);
@@ -247,9 +251,7 @@
 			this.supervisor.adoptDrains(link, notice.drains());
 		}
 		else if (message instanceof EntryWelcome welcome) {
-			if (this.routing != null && this.routing.version() > welcome.routingVersion()) {
-				this.links.send(link, new RoutingNotice(this.routing));
-			}
+			this.routingVersionByLink.put(link, welcome.routingVersion());
 			this.supervisor.welcomed(link, welcome, now);
 		}
 		else if (message instanceof RoutingNotice notice) {
@@ -264,8 +266,22 @@
 		this.idle = this.supervisor.idle();
 	}
 
+	/**
+	 * Sends the routing table to an entry that had an older one when it welcomed this
+	 * agent. Its first grant shows that messages of this agent have arrived, so that the
+	 * link takes large frames.
+	 * @param link the link of the entry
+	 */
+	private void sendNewerRouting(String link) {
+		Long version = this.routingVersionByLink.remove(link);
+		if (version != null && this.routing != null && this.routing.version() > version) {
+			this.links.send(link, new RoutingNotice(this.routing));
+		}
+	}
+
 	@Override
 	public void linkDown(String link, boolean refused) {
+		this.routingVersionByLink.remove(link);
 		this.lastReceivedMillis.remove(link);
 		this.selection.linkDown(link);
 		this.supervisor.unlinked(link);
--- a/daemon/src/test/java/org/baobabspar/node/AgentNodeTests.java
+++ b/daemon/src/test/java/org/baobabspar/node/AgentNodeTests.java
@@ -6,12 +6,20 @@
 import java.util.concurrent.TimeUnit;
 
 import org.baobabspar.daemon.Control;
+import org.baobabspar.fleet.Route;
+import org.baobabspar.fleet.RoutingTable;
 import org.baobabspar.fleet.RunKey;
+import org.baobabspar.message.EntryWelcome;
+import org.baobabspar.message.LeaseGrant;
+import org.baobabspar.message.LeaseRequest;
 import org.baobabspar.message.Message;
+import org.baobabspar.message.RoutingNotice;
+import org.baobabspar.message.SupervisorHello;
 import org.baobabspar.supervise.EndpointDriver;
 import org.baobabspar.supervise.EndpointLease;
 import org.baobabspar.supervise.EndpointReport;
 import org.baobabspar.wire.LinkHandler;
+import org.baobabspar.wire.LinkLimits;
 import org.baobabspar.wire.Links;
 import org.testng.Assert;
 import org.testng.annotations.DataProvider;
@@ -58,6 +66,80 @@
 		}
 	}
 
+	// Guards against an entry that no agent can link to any more, because the agents send
+	// it a large routing table as their first frame.
+	@Test
+	void largeRoutingTableReachesAnEntryThatHasNone() throws InterruptedException {
+		LoopResources loops = LoopResources.create("test", 1, true);
+		Scheduler control = Schedulers.newSingle("entry");
+		Route route = new Route("r", "host", "/" + "x".repeat(100_000), "service", 0, 3, 1.6, 60, "");
+		RoutingTable table = new RoutingTable(2, List.of(route), 1);
+		RoutingEntry informed = new RoutingEntry(table);
+		RoutingEntry uninformed = new RoutingEntry(null);
+		LinkLimits limits = new LinkLimits(EntryNode.MAX_FRAME_BYTES, 1_000);
+		try (Links first = new Links(control, loops, informed, limits);
+				Links second = new Links(control, loops, uninformed, limits)) {
+			informed.links = first;
+			uninformed.links = second;
+			AgentNode agent = new AgentNode("agent", "domain", Control::monotonicMillis, loops, (a) -> new IdleDriver(),
+					(checkpoint) -> {
+					}, new RejectedInputs((source) -> {
+					}));
+			agent.discover(List.of("127.0.0.1:" + first.listen("127.0.0.1", 0)));
+			Assert.assertTrue(informed.greeted.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+			agent.discover(List.of("127.0.0.1:" + second.listen("127.0.0.1", 0)));
+			Assert.assertTrue(uninformed.informed.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+		}
+		finally {
+			control.dispose();
+			loops.dispose();
+		}
+	}
+
+	/** An entry that tells its agents of a routing table, or hears of one from them. */
+	private static final class RoutingEntry implements LinkHandler {
+
+		private final CountDownLatch greeted = new CountDownLatch(1);
+
+		private final CountDownLatch informed = new CountDownLatch(1);
+
+		private final RoutingTable table;
+
+		private volatile Links links;
+
+		RoutingEntry(RoutingTable table) {
+			this.table = table;
+		}
+
+		@Override
+		public void linkUp(String link) {
+			long version = 0;
+			if (this.table != null) {
+				this.links.send(link, new RoutingNotice(this.table));
+				version = this.table.version();
+			}
+			this.links.send(link, new EntryWelcome("entry", 1, 1, version));
+		}
+
+		@Override
+		public void receive(String link, Message message) {
+			if (message instanceof SupervisorHello) {
+				this.greeted.countDown();
+			}
+			else if (message instanceof LeaseRequest request) {
+				this.links.send(link, new LeaseGrant(request.sentMillis(), 0, 0));
+			}
+			else if (message instanceof RoutingNotice) {
+				this.informed.countDown();
+			}
+		}
+
+		@Override
+		public void linkDown(String link, boolean refused) {
+		}
+
+	}
+
 	private record UpCounter(CountDownLatch linked) implements LinkHandler {
 
 		@Override
--- a/wire/src/test/java/org/baobabspar/wire/FrameCodecTests.java
+++ b/wire/src/test/java/org/baobabspar/wire/FrameCodecTests.java
@@ -4,9 +4,14 @@
 import java.math.BigInteger;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.LongStream;
 
+import org.baobabspar.fleet.Batches;
+import org.baobabspar.fleet.CancelledJob;
+import org.baobabspar.fleet.ClaimedJob;
 import org.baobabspar.fleet.EndpointState;
 import org.baobabspar.fleet.EndpointStatus;
+import org.baobabspar.fleet.RecentJobs;
 import org.baobabspar.fleet.Resources;
 import org.baobabspar.fleet.RoutingTable;
 import org.baobabspar.message.AgentHeartbeat;
@@ -14,11 +19,13 @@
 import org.baobabspar.message.AgentInfo;
 import org.baobabspar.message.AgentNotice;
 import org.baobabspar.message.AgentState;
+import org.baobabspar.message.CancelNotice;
 import org.baobabspar.message.Dispatch;
 import org.baobabspar.message.EntryInfo;
 import org.baobabspar.message.EntryLoss;
 import org.baobabspar.message.Fence;
 import org.baobabspar.message.FenceReply;
+import org.baobabspar.message.JobClaim;
 import org.baobabspar.message.JobEnded;
 import org.baobabspar.message.LeaseGrant;
 import org.baobabspar.message.LeaseRequest;
@@ -50,6 +57,19 @@
 
 	private final FrameCodec codec = new FrameCodec();
 
+	// Guards against a batch of jobs that an entry does not take as the first frame.
+	@Test
+	void batchOfJobsFitsIntoAFirstFrame() {
+		List<String> ids = LongStream.range(0, Batches.MAX_JOBS).mapToObj((i) -> String.format("%016x", i)).toList();
+		List<Message> batches = List.of(
+				new CancelNotice(Long.MAX_VALUE,
+						ids.stream().map((id) -> new CancelledJob(id, RecentJobs.RETENTION_MILLIS)).toList()),
+				new JobClaim(Long.MAX_VALUE, true, ids.stream().map((id) -> new ClaimedJob(id, true)).toList()));
+		for (Message batch : batches) {
+			Assert.assertTrue(this.codec.encode(batch).length < LinkLimits.MAX_FIRST_FRAME_BYTES);
+		}
+	}
+
 	@DataProvider
 	public Object[][] messages() {
 		EntryInfo entry = new EntryInfo("e", "i", "d", "10.0.0.1", 7070);
