Let each stop of the event loop count by itself in the age of requests

What callers saw: in a long rush jobs were refused as too old a moment after they were sent (CrowdTests, REQUESTS_AHEAD).

Cause: each slow iteration counted as a stop that kept the oldest tick, so the assumed age grew with the rush.

Change: a stop counts for a second, with the tick before it. The new test fails before.

--- a/core/src/main/java/org/baobabspar/dispatch/ArrivalClock.java
+++ b/core/src/main/java/org/baobabspar/dispatch/ArrivalClock.java
@@ -1,6 +1,8 @@
 package org.baobabspar.dispatch;
 
+import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Deque;
 import java.util.function.LongSupplier;
 
 /**
@@ -14,8 +16,9 @@
  * iteration, or in its second, which may follow a tick at 5,120 ms.
  * <p>
  * After a stop many requests wait, and a loop that takes long for each reads them in many
- * iterations. Soon after a stop a tick therefore counts only if nothing was read since
- * the last one.
+ * iterations. What is read within {@value #BACKLOG_MILLIS} ms after a stop may therefore
+ * have arrived before it, until the loop has found nothing to read at several ticks. In a
+ * rush one stop may follow the other, and each counts for that long only.
  * <p>
  * Invariant: holds for connections of servers that accept all waiting connections in one
  * iteration. Confined to the event loop.
@@ -37,10 +40,14 @@
 
 	private final PathSilence silence;
 
-	private long backlogUntilMillis = Long.MIN_VALUE;
+	/** Stops of the loop after which not all that waited has been read. */
+	private final Deque<Backlog> backlogs = new ArrayDeque<>();
 
 	private boolean readSinceTick;
 
+	/** Ticks in a row, since the last stop, before which nothing was read. */
+	private int quietTicks;
+
 	/** Times of the last ticks, the oldest first. */
 	private final long[] tickMillis = new long[TICKS_UNTIL_READ];
 
@@ -60,16 +67,23 @@
 		long nowMillis = this.clock.getAsLong();
 		long intervalMillis = nowMillis - this.tickMillis[TICKS_UNTIL_READ - 1];
 		if (intervalMillis > STOP_MILLIS) {
-			this.backlogUntilMillis = nowMillis + BACKLOG_MILLIS;
-		}
-		if (this.readSinceTick && nowMillis <= this.backlogUntilMillis) {
-			Arrays.fill(this.tickMillis, this.tickMillis[0]);
-		}
-		else {
-			System.arraycopy(this.tickMillis, 1, this.tickMillis, 0, TICKS_UNTIL_READ - 1);
+			this.backlogs.add(new Backlog(this.tickMillis[0], nowMillis + BACKLOG_MILLIS));
+			this.quietTicks = 0;
 		}
+		System.arraycopy(this.tickMillis, 1, this.tickMillis, 0, TICKS_UNTIL_READ - 1);
 		this.tickMillis[TICKS_UNTIL_READ - 1] = nowMillis;
+		this.quietTicks = this.readSinceTick ? 0 : this.quietTicks + 1;
 		this.readSinceTick = false;
+		if (this.quietTicks >= TICKS_UNTIL_READ) {
+			this.backlogs.clear();
+		}
+	}
+
+	private long earliestArrivalMillis(long nowMillis) {
+		while (!this.backlogs.isEmpty() && this.backlogs.peek().untilMillis < nowMillis) {
+			this.backlogs.remove();
+		}
+		return this.backlogs.isEmpty() ? this.tickMillis[0] : this.backlogs.peek().sinceMillis;
 	}
 
 	/**
@@ -77,8 +91,9 @@
 	 * @return the earliest time at which its client may have sent anything on it
 	 */
 	public long accept() {
-		this.silence.recordRead(this.clock.getAsLong());
-		return this.tickMillis[0];
+		long nowMillis = this.clock.getAsLong();
+		this.silence.recordRead(nowMillis);
+		return earliestArrivalMillis(nowMillis);
 	}
 
 	/**
@@ -104,8 +119,18 @@
 		this.readSinceTick = true;
 		long nowMillis = this.clock.getAsLong();
 		this.silence.recordRead(nowMillis);
-		long earliestSentMillis = Math.min(this.tickMillis[0], this.silence.earliestSentMillis(nowMillis));
-		return new RequestArrival(Math.max(quietSinceMillis, earliestSentMillis), this.tickMillis[0], nowMillis);
+		long earliestMillis = earliestArrivalMillis(nowMillis);
+		long earliestSentMillis = Math.min(earliestMillis, this.silence.earliestSentMillis(nowMillis));
+		return new RequestArrival(Math.max(quietSinceMillis, earliestSentMillis), earliestMillis, nowMillis);
+	}
+
+	/**
+	 * What waited while the loop was stopped.
+	 *
+	 * @param sinceMillis the earliest time at which it arrived
+	 * @param untilMillis when all of it has been read
+	 */
+	private record Backlog(long sinceMillis, long untilMillis) {
 	}
 
 }
--- a/core/src/test/java/org/baobabspar/dispatch/ArrivalClockTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/ArrivalClockTests.java
@@ -85,6 +85,18 @@
 		Assert.assertEquals(readAfter(10).maxUnreadMillis(), 0);
 	}
 
+	// Guards against requests that are refused as too old, although they were sent just
+	// now, because the loop has been slow since the start of a rush.
+	@Test
+	void requestsOfALongRushAreNotAsOldAsTheRush() {
+		long slowMillis = 400;
+		for (int i = 0; i < 100; i++) {
+			readAfter(slowMillis);
+			this.clock.tick();
+		}
+		Assert.assertTrue(readAfter(slowMillis).maxUnreadMillis() <= 1_000 + 4 * slowMillis);
+	}
+
 	// Guards against a freeze between the read of the head and that of the body.
 	@Test
 	void waitGoesOnAfterTheRead() {
