Claim only what a silence of a second may have held up

Cause: entries with a few requests a second are silent for 400 ms all the time, and each request on a connection that had been idle for that long was claimed, even if the connection had been served since the silence.

Change: a silence counts from a second on, and not for connections that were served after it. Silences that follow each other closely hold up for longer.

--- a/core/src/main/java/org/baobabspar/dispatch/ArrivalClock.java
+++ b/core/src/main/java/org/baobabspar/dispatch/ArrivalClock.java
@@ -120,8 +120,9 @@
 		long nowMillis = this.clock.getAsLong();
 		this.silence.recordRead(nowMillis);
 		long earliestMillis = earliestArrivalMillis(nowMillis);
-		long earliestSentMillis = Math.min(earliestMillis, this.silence.earliestSentMillis(nowMillis));
-		return new RequestArrival(Math.max(quietSinceMillis, earliestSentMillis), earliestMillis, nowMillis);
+		long earliestSentMillis = this.silence.earliestSentMillis(quietSinceMillis, nowMillis);
+		return new RequestArrival(Math.max(quietSinceMillis, Math.min(earliestMillis, earliestSentMillis)),
+				earliestMillis, nowMillis);
 	}
 
 	/**
--- a/core/src/test/java/org/baobabspar/dispatch/PathSilenceTests.java
+++ b/core/src/test/java/org/baobabspar/dispatch/PathSilenceTests.java
@@ -8,6 +8,9 @@
  */
 public class PathSilenceTests {
 
+	/** When a connection was served last that has been idle since. */
+	private static final long OLD = 500;
+
 	private final PathSilence silence = new PathSilence(1_000);
 
 	@Test
@@ -15,7 +18,7 @@
 		PathSilence busy = new PathSilence(1_000);
 		for (long millis = 1_100; millis <= 5_000; millis += 100) {
 			busy.recordRead(millis);
-			Assert.assertEquals(busy.earliestSentMillis(millis), millis);
+			Assert.assertEquals(busy.earliestSentMillis(OLD, millis), millis);
 		}
 	}
 
@@ -25,9 +28,9 @@
 	void requestMayBeAsOldAsTheSilenceForAsLongAfterIt() {
 		this.silence.recordRead(4_000);
 		this.silence.recordRead(4_010);
-		Assert.assertEquals(this.silence.earliestSentMillis(4_010), 1_000);
-		Assert.assertEquals(this.silence.earliestSentMillis(7_300), 1_000);
-		Assert.assertEquals(this.silence.earliestSentMillis(7_301), 7_301);
+		Assert.assertEquals(this.silence.earliestSentMillis(OLD, 4_010), 1_000);
+		Assert.assertEquals(this.silence.earliestSentMillis(OLD, 7_300), 1_000);
+		Assert.assertEquals(this.silence.earliestSentMillis(OLD, 7_301), 7_301);
 	}
 
 	// Guards against a second cut that hides what the first one still holds up.
@@ -36,7 +39,16 @@
 		PathSilence twice = new PathSilence(1_000);
 		twice.recordRead(4_000);
 		twice.recordRead(5_000);
-		Assert.assertEquals(twice.earliestSentMillis(5_000), 1_000);
+		Assert.assertEquals(twice.earliestSentMillis(OLD, 5_000), 1_000);
+		Assert.assertEquals(twice.earliestSentMillis(OLD, 9_300), 1_000);
+	}
+
+	@Test
+	void requestIsNewOnAConnectionThatWasServedSince() {
+		PathSilence over = new PathSilence(1_000);
+		over.recordRead(4_000);
+		Assert.assertEquals(over.earliestSentMillis(3_000, 4_100), 3_000);
+		Assert.assertEquals(over.earliestSentMillis(4_000, 4_100), 4_100);
 	}
 
 }
