Leave a wait in the process to the deadline, without a claim

Cause: such a wait counted into the age that asks for a claim, although it is subtracted from the caller's timeout already, so the run ends before the next attempt comes.

Change: only what the network may have held up is claimed. A stop of a second or more is a silence, and counts still.

--- a/core/src/main/java/org/baobabspar/dispatch/ArrivalClock.java
+++ b/core/src/main/java/org/baobabspar/dispatch/ArrivalClock.java
@@ -120,9 +120,8 @@
 		long nowMillis = this.clock.getAsLong();
 		this.silence.recordRead(nowMillis);
 		long earliestMillis = earliestArrivalMillis(nowMillis);
-		long earliestSentMillis = this.silence.earliestSentMillis(quietSinceMillis, nowMillis);
-		return new RequestArrival(Math.max(quietSinceMillis, Math.min(earliestMillis, earliestSentMillis)),
-				earliestMillis, nowMillis);
+		return new RequestArrival(this.silence.earliestSentMillis(quietSinceMillis, nowMillis), earliestMillis,
+				nowMillis);
 	}
 
 	/**
--- a/core/src/main/java/org/baobabspar/dispatch/RequestArrival.java
+++ b/core/src/main/java/org/baobabspar/dispatch/RequestArrival.java
@@ -6,10 +6,11 @@
  * for seconds, the network may have held them up before, and nothing in a request says
  * when it was sent.
  * <p>
- * Invariant: the request was not sent before the first time and did not arrive before the
- * second. Immutable and thread-safe.
+ * Invariant: the request did not arrive before the earliest time, and was not sent before
+ * the earlier one of both. Immutable and thread-safe.
  *
- * @param earliestSentMillis the earliest time at which the client may have sent it
+ * @param earliestSentMillis the earliest time at which the client may have sent it, as
+ * far as the network held it up; a wait in this VM is part of {@link #maxUnreadMillis()}
  * @param earliestMillis the earliest time at which the request may have arrived
  * @param readMillis when the request was read
  */
