--- a/review/standin-3/Deployment.java
+++ b/review/standin-3/Deployment.java
@@ -51,6 +51,9 @@
 
 	final Map<String, String> fronts = new HashMap<>();
 
+	/** The service that the desired state names for all queues. */
+	String backend = "service";
+
 	private final Map<String, String> readies = new HashMap<>();
 
 	private final int controlPort;
@@ -122,10 +125,10 @@
 			routes.add("{\"name\":\"r" + i + "\",\"hostname\":\"" + HOST + "\",\"path_prefix\":\""
 					+ ((i == 0) ? PREFIX : "/queue" + i + "/")
 					+ "\",\"type\":\"non_idempotent\",\"timeout_ms\":10000,\"target_latency_ms\":60,\"priority\":"
-					+ priorities[i] + ",\"backend\":\"service\",\"max_attempts\":3,\"slack_factor\":1.6}");
+					+ priorities[i] + ",\"backend\":\"" + this.backend + "\",\"max_attempts\":3,\"slack_factor\":1.6}");
 		}
 		this.store.put("keyed.op", "config", "{\"version\":" + version + ",\"routes\":[" + String.join(",", routes)
-				+ "],\"services\":[{\"name\":\"service\",\"health_path\":\"/healthz\",\"max_conns\":64,\"protocol\":\"h1\","
+				+ "],\"services\":[{\"name\":\"" + this.backend + "\",\"health_path\":\"/healthz\",\"max_conns\":64,\"protocol\":\"h1\","
 				+ "\"tls\":false,\"rejects_overload\":false,\"standby\":false}],\"limits\":{\"max_header_bytes\":16384,"
 				+ "\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
 	}
--- a/review/standin-3/Worker.java
+++ b/review/standin-3/Worker.java
@@ -96,6 +96,8 @@
 
 	volatile String state = "ready";
 
+	volatile String service = "service";
+
 	/** Capacity in thousandths of a core. */
 	private final long cpu;
 
@@ -135,7 +137,7 @@
 			if (!this.up) {
 				return;
 			}
-			body = "{\"backend\":\"service\",\"address\":\"" + this.server.getAddress().getHostString() + ":"
+			body = "{\"backend\":\"" + this.service + "\",\"address\":\"" + this.server.getAddress().getHostString() + ":"
 					+ this.server.getAddress().getPort() + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,\"state\":\""
 					+ this.state + "\",\"cold_left_ms\":0,\"capacity\":{\"cpu\":" + this.cpu
 					+ ",\"mem_mb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"clock_ms\":" + clock() + ",\"born\":"
@@ -154,7 +156,7 @@
 		Map<String, Object> body = Json
 			.object(new String(call.getRequestBody().readAllBytes(), StandardCharsets.UTF_8));
 		if (!this.up) {
-			call.close();
+			// A machine without power does not respond, and connections to it hang.
 			return;
 		}
 		if (!this.id.equals(call.getRequestHeaders().getFirst("Target-Instance"))) {
@@ -294,12 +296,37 @@
 				long percent = Math.min(99, 100 * (Record.millis() - run.startMillis) / Math.max(1, this.workMillis));
 				rows.add("[\"" + run.task + "\"," + run.number + ",\"\"," + percent + ",500]");
 			}
+			if (!this.up || life != this.bornMillis) {
+				return;
+			}
 			lists = ",\"running\":[" + String.join(",", rows) + "],\"finished\":["
 					+ String.join(",", this.ends.subList(0, Math.min(500, this.ends.size()))) + "]";
 		}
 		answer(call, 200, lists);
 	}
 
+	/** Loses power: all that runs ends, and nothing is answered until {@link #powerOn}. */
+	synchronized void powerOff() {
+		this.up = false;
+		for (Run run : this.running.values()) {
+			run.endMillis = Record.millis();
+			run.how = "lost power";
+		}
+		this.running.clear();
+		this.record.add("worker " + this.name + " loses power");
+		notifyAll();
+	}
+
+	/** Starts again under the same id, and knows nothing of before. */
+	synchronized void powerOn() {
+		this.usedNumbers.clear();
+		this.ends.clear();
+		this.endNumbers.clear();
+		bear();
+		this.up = true;
+		this.record.add("worker " + this.name + " has power again");
+	}
+
 	synchronized List<Run> runsOf(String jobId) {
 		return this.history.stream().filter((r) -> r.task.startsWith(jobId + ".")).toList();
 	}
