--- a/review/standin-3/ManyDependencies.java
+++ b/review/standin-3/ManyDependencies.java
@@ -14,6 +14,8 @@
 
 	private static final int BODY_BYTES = 240_000;
 
+	private static final long STAGGER_MILLIS = 700;
+
 	private static final long PAUSE_MILLIS = 100;
 
 	private static final long RETRANSMIT_MILLIS = 1_300;
@@ -33,6 +35,7 @@
 			for (int c = 1; c <= LARGE_CLIENTS; c++) {
 				int number = c;
 				d.threads.execute(() -> sendLargeJobs(d, number));
+				TimeUnit.MILLISECONDS.sleep(STAGGER_MILLIS);
 			}
 			TimeUnit.MILLISECONDS.sleep(3_000);
 			int sent = 0;
@@ -57,7 +60,7 @@
 		}
 		for (int i = 1; !this.over; i++) {
 			String id = String.format("b%01x%014x", number, i);
-			String body = "{\"spec\":\"text\",\"best_effort\":true,\"steps\":["
+			String body = "{\"spec\":\"200 ms\",\"best_effort\":true,\"steps\":["
 					+ "{\"count\":1,\"cpu\":100,\"mem_mb\":1,\"est_runtime_ms\":100},"
 					+ "{\"count\":1199,\"cpu\":3100,\"mem_mb\":64,\"est_runtime_ms\":1286,\"depends_on\":[" + earlier
 					+ "]}]}";
--- a/review/standin-3/Worker.java
+++ b/review/standin-3/Worker.java
@@ -15,7 +15,7 @@
 
 /**
  * A worker: runs tasks under a lease, reports itself and lists what runs and what has ended. Starts whatever it is
- * told to start. Safe for any thread.
+ * told to start. A spec such as "200 ms" says how long a task takes. Safe for any thread.
  */
 final class Worker {
 
@@ -216,7 +216,9 @@
 		}
 		extend(body);
 		this.usedNumbers.put(task, number);
-		Run run = new Run(this, task, number, (String) body.get("spec"), Record.millis(), this.workMillis);
+		String spec = (String) body.get("spec");
+		long millis = spec.matches("[0-9]{1,6} ms") ? Long.parseLong(spec.split(" ")[0]) : this.workMillis;
+		Run run = new Run(this, task, number, spec, Record.millis(), millis);
 		this.running.put(task, run);
 		this.history.add(run);
 		this.record.add("run " + task + "#" + number + " starts at " + this.name + " spec=" + printable(run.spec));
@@ -293,7 +295,7 @@
 			}
 			List<String> rows = new ArrayList<>();
 			for (Run run : this.running.values()) {
-				long percent = Math.min(99, 100 * (Record.millis() - run.startMillis) / Math.max(1, this.workMillis));
+				long percent = Math.min(99, 100 * (Record.millis() - run.startMillis) / Math.max(1, run.doneMillis - run.startMillis));
 				rows.add("[\"" + run.task + "\"," + run.number + ",\"\"," + percent + ",500]");
 			}
 			if (!this.up || life != this.bornMillis) {
