--- a/review/standin-3/ForgottenCancel.java
+++ b/review/standin-3/ForgottenCancel.java
@@ -51,6 +51,9 @@
 		long cancelledMillis = Record.millis();
 		d.record.add("job " + id + " cancelled at e2, status " + status);
 		first.get();
+		if (d.runsOf(id).isEmpty()) {
+			throw new IllegalStateException("the job had not started when it was cancelled");
+		}
 		if (status != 200 && status != 410) {
 			throw new IllegalStateException("the job is not cancelled");
 		}
--- a/review/standin-3/OpenHeads.java
+++ b/review/standin-3/OpenHeads.java
@@ -73,6 +73,9 @@
 				d.record.add("entry e" + i + " has ended with status " + d.processes.get("e" + i).exitValue());
 			}
 		}
+		if (!this.trouble && clients.size() < ENTRIES * CLIENTS) {
+			throw new IllegalStateException("only " + clients.size() + " clients have connected");
+		}
 		for (Client client : clients) {
 			client.close();
 		}
--- a/review/standin-3/UnseenLeave.java
+++ b/review/standin-3/UnseenLeave.java
@@ -44,6 +44,9 @@
 		submit(first, id);
 		d.record.add("job " + id + " sent to e1");
 		TimeUnit.MILLISECONDS.sleep(LEAVE_MILLIS);
+		if (d.runsOf(id).isEmpty()) {
+			throw new IllegalStateException("the job has not started at e1");
+		}
 		if (this.trouble) {
 			path.cut(true);
 			d.record.add("path between the client and e1 is cut");
